--- a/src/process/node/listed.rs
+++ b/src/process/node/listed.rs
@@ -243,7 +243,8 @@
     }
 
     fn share_tick(&mut self, now: Time, out: &mut Vec<Action>) {
-        let again = self.quota.share().tick(now);
+        let waiting = self.router.charging();
+        let again = self.quota.share().tick(now, &waiting);
         for team in again {
             self.ingress(now, ingress::Event::Quota(team), out);
         }
--- a/src/process/quota/holder.rs
+++ b/src/process/quota/holder.rs
@@ -188,12 +188,18 @@
         }
     }
 
-    /// Takes a token for one root request of the team. It pays for a request
-    /// that begins within [`Holder::left`].
-    pub fn take(&mut self, now: Time, team: &Team) -> Charge {
-        if let Some(pool) = &mut self.pool {
-            return pool.take(now, team);
+    /// Takes a token for one root request of the team, beside which so many
+    /// others wait for one. It pays for a request that begins within
+    /// [`Holder::left`].
+    pub fn take_beside(&mut self, now: Time, team: &Team, others: u32) -> Charge {
+        match &mut self.pool {
+            Some(pool) => pool.take(now, team, others),
+            None => self.take(now, team),
         }
+    }
+
+    /// The same, where rates have owners.
+    pub fn take(&mut self, now: Time, team: &Team) -> Charge {
         if let Some(charge) = self.take_share(now, team) {
             return charge;
         }
@@ -230,6 +236,12 @@
         }
     }
 
+    /// Whether a team that gets no token is over its rate; else no owner of its
+    /// rate can be reached.
+    pub fn is_over(&self, now: Time, team: &Team) -> bool {
+        self.pool.as_ref().is_some_and(|pool| pool.is_over(now, team))
+    }
+
     /// Notes that the request which took this token has begun.
     ///
     /// Its owner may then fill the token's place in the burst again. Until it
--- a/src/process/quota/pool.rs
+++ b/src/process/quota/pool.rs
@@ -8,9 +8,8 @@
 //!
 //! Why no window of time sees more than rate and burst. Minting: the nodes that
 //! mint are among those that each of them counts, see [`Pool::adopt`], so the
-//! shares add up to the rate at most. Stock: a node keeps at most half the
-//! burst / nodes; a bank keeps at most half the burst, less what it lent in the
-//! last [`LOAN`], in proportion to the nodes that deposited with it just now; a
+//! shares add up to the rate at most. Stock: the nodes keep at most a quarter of
+//! the burst; a bank keeps at most the rest, less what it lent in the last [`LOAN`], in proportion to the nodes that deposited with it just now; a
 //! loan that was not used within [`LOAN`] of asking is void. So what lies
 //! anywhere is at most the burst.
 
@@ -44,26 +43,34 @@
 };
 
 /// How long a loan may be used: by its holder from when it asked, by its bank
-/// from when it lent.
-const LOAN: Span = Span::from_secs(1);
+/// from when it lent. What is lent counts against the bank's stock for as long,
+/// so a long one would starve teams whose burst is about a second of their rate.
+const LOAN: Span = Span::from_ms(150);
+/// Time before the end of a loan at which the rest is given back.
+const RETURN: Span = Span::from_ms(50);
+/// The part of the burst that all nodes keep themselves; banks keep the rest.
+/// Tokens that lie at a node are missed elsewhere.
+const KEPT_BURST: u64 = 4;
 /// The time between two deposits. Tokens of an idle node are missed elsewhere
 /// for this long.
 const DEPOSIT: Span = Span::from_ms(200);
 /// A node keeps tokens for so much of its recent demand.
-const KEPT: f64 = 0.4;
+const KEPT: f64 = 0.2;
 /// It borrows when what it holds lasts no longer than this.
 const RESERVE: f64 = 0.1;
 /// It borrows for so much of its demand at a time.
-const BORROWED: f64 = 0.25;
+const BORROWED: f64 = 0.1;
 /// An unanswered wish is repeated after this, at the next bank in the order.
 const REPEAT: Span = Span::from_ms(60);
 /// A bank that did not answer is passed over for this long.
 const PASSED_OVER: Span = Span::from_secs(2);
 /// The time between two wishes while the bank has nothing to lend.
-const EMPTY: Span = Span::from_ms(100);
+const EMPTY: Span = Span::from_ms(30);
 /// How often demand is measured, and the weight of the newest measurement.
 const WINDOW: Span = Span::from_ms(200);
 const FRESH: f64 = 0.3;
+/// Requests a second below which a node keeps no tokens of a team.
+const LIVELY: f64 = 0.5;
 /// A node deposits at least this often, so that its bank counts it.
 const DONOR: Span = Span::from_secs(1);
 /// How long a node that has just joined mints nothing: until all others have
@@ -128,6 +135,9 @@
     demand: f64,
     taken: u32,
     waiting: u32,
+    /// Whole tokens whose requests were not run. They are of use at once, or
+    /// go to the bank with the next deposit.
+    returned: u32,
     window: Time,
 }
 
@@ -214,7 +224,8 @@
                 .or_insert_with(|| Account::new(now));
             account.mint(now, self.minting);
             account.rate = rate.split(u64::from(self.nodes));
-            account.cap = u64::from(*burst) * MILLI / 2 / u64::from(self.nodes);
+            let burst = u64::from(*burst) * MILLI;
+            account.cap = burst / KEPT_BURST / u64::from(self.nodes);
         }
     }
 
@@ -224,8 +235,9 @@
         accounts.for_each(|account| account.mint(now, minting));
     }
 
-    /// Takes a token for one root request of the team.
-    pub fn take(&mut self, now: Time, team: &Team) -> Charge {
+    /// Takes a token for one root request of the team, beside which so many
+    /// others wait for one here.
+    pub fn take(&mut self, now: Time, team: &Team, others: u32) -> Charge {
         let Some((rate, _)) = self.limits.get(team) else {
             return Charge::Over;
         };
@@ -237,25 +249,30 @@
             return Charge::Over;
         };
         account.mint(now, minting);
-        account.taken += 1;
         let charge = match account.take(now) {
-            true => Charge::Taken(Grant(0)),
-            false if now < account.empty => Charge::Over,
-            false => {
-                account.waiting += 1;
-                Charge::Pending
+            true => {
+                account.taken += 1;
+                Charge::Taken(Grant(0))
             }
+            false => Charge::Pending,
         };
+        account.waiting = others + u32::from(charge == Charge::Pending);
         self.borrow(now, team);
         charge
     }
 
+    /// Whether the team is over its rate, as far as this node can tell: its
+    /// bank had nothing to lend just now.
+    pub fn is_over(&self, now: Time, team: &Team) -> bool {
+        let account = self.accounts.get(team);
+        account.is_none_or(|account| now < account.empty + EMPTY + REPEAT)
+    }
+
     /// Gives a token back, as its request was not run.
     pub fn give_back(&mut self, now: Time, team: &Team) {
         if let Some(account) = self.accounts.get_mut(team) {
             account.mint(now, self.minting);
-            account.own.put(1);
-            account.own.fill(now, Rate::per_second(0), account.cap);
+            account.returned += 1;
         }
     }
 
@@ -297,40 +314,44 @@
         let account = self.accounts.get_mut(&team)?;
         let wish = account.wish.filter(|wish| wish.number == number)?;
         account.wish = None;
-        account.waiting = 0;
-        match tokens {
-            0 => account.empty = now + EMPTY,
-            _ => account.loans.push(Loan {
-                tokens,
-                end: wish.asked + LOAN,
-            }),
+        if tokens == 0 {
+            account.empty = now + EMPTY;
+            return None;
         }
+        account.loans.push(Loan {
+            tokens,
+            end: wish.asked + LOAN,
+        });
         Some(team)
     }
 
     /// Deposits, repeats wishes, and lists the teams whose waiting requests
-    /// should try again.
-    pub fn tick(&mut self, now: Time) -> Vec<Team> {
+    /// should try again. `waiting` tells how many of each team wait here: those
+    /// that gave up must not go on borrowing tokens that nobody uses.
+    pub fn tick(&mut self, now: Time, waiting: &BTreeMap<Team, u32>) -> Vec<Team> {
         self.mint(now);
+        for (team, account) in &mut self.accounts {
+            account.waiting = waiting.get(team).copied().unwrap_or(0);
+        }
         let teams: Vec<_> = self.accounts.keys().cloned().collect();
         let mut again = Vec::new();
         for team in &teams {
-            if self.overdue(now, team) {
+            let waits = self.accounts[team].waiting > 0;
+            if self.overdue(now, team) || waits {
                 self.borrow(now, team);
             }
             if let Some(account) = self.accounts.get_mut(team)
                 && account.waiting > 0
                 && account.can_take(now)
             {
-                // Each of them counts itself again if it still finds nothing.
-                account.waiting = 0;
                 again.push(team.clone());
             }
         }
-        if now >= self.next_deposit {
+        let surplus = now >= self.next_deposit;
+        if surplus {
             self.next_deposit = now + DEPOSIT;
-            self.deposit_surplus(now);
         }
+        self.give_up(now, surplus);
         again
     }
 
@@ -341,11 +362,7 @@
 
     /// When the next tick has something to do while requests come.
     pub fn due(&self) -> Time {
-        let waits = self.accounts.values().any(|account| account.wish.is_some());
-        match waits {
-            true => self.next_deposit.min(self.deposited + REPEAT),
-            false => self.next_deposit,
-        }
+        self.next_deposit
     }
 
     /// Whether the wish of a team got no answer; its bank is passed over then.
@@ -380,7 +397,7 @@
         let Some(account) = self.accounts.get_mut(team) else {
             return;
         };
-        if account.wish.is_some() || now < account.empty || !account.is_low(now) {
+        if account.wish.is_some() || now < account.empty || !account.is_low() {
             return;
         }
         let want = account.want();
@@ -414,18 +431,24 @@
         }
     }
 
-    fn deposit_surplus(&mut self, now: Time) {
+    /// Gives the bank what is borrowed and not used, and at times the surplus.
+    fn give_up(&mut self, now: Time, surplus: bool) {
         let mut tokens = Vec::new();
         for (team, account) in &mut self.accounts {
             account.measure(now);
-            let surplus = account.surplus();
-            if surplus > 0 {
-                tokens.push((team.clone(), surplus));
+            let mut millis = account.unused(now);
+            if surplus {
+                millis += account.surplus();
+            }
+            if millis > 0 {
+                tokens.push((team.clone(), millis));
             }
         }
-        let Some(bank) = self.bank(now) else {
+        let silent = surplus && now.since(self.deposited) >= DONOR;
+        let Some(bank) = self.bank(now).filter(|_| silent || !tokens.is_empty()) else {
             return;
         };
+        self.deposited = now;
         if bank == self.me {
             self.donors.insert(self.me.clone(), now);
             for (team, millis) in tokens {
@@ -433,11 +456,8 @@
             }
             return;
         }
-        if !tokens.is_empty() || now.since(self.deposited) >= DONOR {
-            self.deposited = now;
-            let from = self.me.clone();
-            self.outbox.push((bank, Message::Deposit { from, tokens }));
-        }
+        let from = self.me.clone();
+        self.outbox.push((bank, Message::Deposit { from, tokens }));
     }
 
     fn deposit(&mut self, now: Time, team: &Team, millis: u64) {
@@ -447,7 +467,8 @@
         let recent = |at: &Time| now.since(*at) <= DONOR + DEPOSIT;
         self.donors.retain(|_, at| recent(at));
         let donors = (self.donors.len() as u64).min(u64::from(self.nodes));
-        let cap = u64::from(*burst) * MILLI / 2 * donors / u64::from(self.nodes);
+        let burst = u64::from(*burst) * MILLI;
+        let cap = (burst - burst / KEPT_BURST) * donors / u64::from(self.nodes);
         let stock = self.stocks.entry(team.clone()).or_default();
         let outstanding = stock.outstanding(now);
         stock.millis = (stock.millis + millis).min(cap.saturating_sub(outstanding));
@@ -491,6 +512,7 @@
             demand: 0.0,
             taken: 0,
             waiting: 0,
+            returned: 0,
             window: now,
         }
     }
@@ -507,7 +529,8 @@
     }
 
     fn can_take(&self, now: Time) -> bool {
-        self.own.tokens() > 0 || self.loans.iter().any(|loan| now < loan.end)
+        let lent = self.loans.iter().any(|loan| now < loan.end);
+        lent || self.returned > 0 || self.own.tokens() > 0
     }
 
     fn take(&mut self, now: Time) -> bool {
@@ -517,39 +540,56 @@
             self.loans.retain(|loan| loan.tokens > 0);
             return true;
         }
+        if self.returned > 0 {
+            self.returned -= 1;
+            return true;
+        }
         self.own.take(1)
     }
 
     fn holds(&self) -> f64 {
         let lent: u32 = self.loans.iter().map(|loan| loan.tokens).sum();
-        f64::from(lent) + self.own.millis() as f64 / MILLI as f64
+        f64::from(lent + self.returned) + self.own.millis() as f64 / MILLI as f64
     }
 
-    fn is_low(&self, _now: Time) -> bool {
-        let holds = self.holds();
-        holds < 1.0 || holds < self.demand * RESERVE || self.waiting > 0
+    /// Whether to borrow. Nothing is borrowed ahead where it would likely not be
+    /// used in time.
+    fn is_low(&self) -> bool {
+        let ahead = self.demand * BORROWED >= 1.0 && self.holds() < self.demand * RESERVE;
+        self.waiting > 0 || ahead
     }
 
     fn want(&self) -> u32 {
-        let ahead = self.demand * BORROWED;
-        (ahead as u32 + self.waiting).max(1)
+        ((self.demand * BORROWED) as u32 + self.waiting).max(1)
     }
 
-    /// What is not needed here in the near future.
+    /// Takes out what was borrowed and will hardly be used before its time is
+    /// over, while the bank still counts it as lent.
+    fn unused(&mut self, now: Time) -> u64 {
+        let late = |loan: &mut Loan| now + RETURN >= loan.end;
+        let late = self.loans.extract_if(.., late);
+        let tokens: u64 = late.map(|loan| u64::from(loan.tokens)).sum();
+        tokens * MILLI
+    }
+
+    /// What is not needed here in the near future, and what could not be kept.
     fn surplus(&mut self) -> u64 {
-        if self.waiting > 0 {
-            return 0;
-        }
-        let keep = match self.demand {
-            // A cap below one token holds nothing that could be used, and with
-            // less than a request in ten windows nothing is needed here.
-            _ if self.cap < MILLI => 0,
-            demand if demand < 0.5 => 0,
-            demand => ((demand * KEPT).max(1.0) * MILLI as f64) as u64,
-        };
-        let surplus = self.own.millis().saturating_sub(keep);
+        let surplus = self.own.millis().saturating_sub(self.keep());
         self.own.drain(surplus);
-        surplus
+        surplus + u64::from(std::mem::take(&mut self.returned)) * MILLI
+    }
+
+    /// Thousandths to be kept. Below the cap there must be room for what is
+    /// minted until the next deposit, or it would be lost; where that leaves
+    /// less than a token, nothing that is kept could be used.
+    fn keep(&self) -> u64 {
+        let minted = self.rate.millis_within(DEPOSIT) * 2;
+        let room = self.cap.saturating_sub(minted);
+        let wanted = (self.demand * KEPT).max(1.0) * MILLI as f64;
+        match room >= MILLI && self.demand >= LIVELY {
+            true => room.min(wanted as u64),
+            false => 0,
+        }
     }
 
     fn measure(&mut self, now: Time) {
@@ -560,8 +600,6 @@
             self.taken = 0;
             self.window = now;
         }
-        if !self.can_take(now) && self.wish.is_none() && now >= self.empty {
-            self.waiting = 0;
-        }
+
     }
 }
--- a/src/process/server.rs
+++ b/src/process/server.rs
@@ -91,6 +91,11 @@
 /// nearly all instances would give.
 const REROUTES: u8 = 2;
 
+/// How long a call waits for a rate token where rates have no owner. Tokens come
+/// evenly, so a team inside its rate gets one sooner, and one that is over it
+/// should hear so while its callers can still come back.
+const TOKEN_WAIT: Span = Span::from_ms(150);
+
 /// How often a pair of a TCP and a UDP socket on one free number is tried for.
 const BIND_TRIES: usize = 16;
 
@@ -179,6 +184,7 @@
             core.list(source, bounds);
             core.set_policy(Policy {
                 reroutes: REROUTES,
+                token_wait: TOKEN_WAIT,
                 ..Policy::default()
             });
         }
--- a/src/request/ingress.rs
+++ b/src/request/ingress.rs
@@ -222,6 +222,15 @@
         self.budget.limit(terms);
     }
 
+    /// Calls that wait for a rate token, by team.
+    pub fn charging(&self) -> BTreeMap<id::Team, u32> {
+        let mut waiting = BTreeMap::new();
+        for call in self.charging.iter().filter_map(|call| self.calls.get(call)) {
+            *waiting.entry(call.context.team.clone()).or_default() += 1;
+        }
+        waiting
+    }
+
     /// Calls that have not been answered whole.
     pub fn len(&self) -> usize {
         self.calls.len()
--- a/src/request/ingress/arrival.rs
+++ b/src/request/ingress/arrival.rs
@@ -32,8 +32,6 @@
     tables::Route, //
 };
 
-/// How long a call waits for a rate token.
-const CHARGING: Span = Span::from_ms(500);
 /// The share of requests below the level that are sent all the same, so that
 /// the level is confirmed or falls.
 const PROBES: f64 = 1.0 / 64.0;
@@ -94,7 +92,7 @@
             claim: arrival.claim,
             root,
             deadline,
-            state: State::Charging(deadline.min(now + CHARGING)),
+            state: State::Charging(deadline.min(now + world.policy.token_wait)),
             wake: deadline,
             tried: Vec::new(),
             retries: 0,
@@ -176,13 +174,24 @@
             return;
         };
         if call.context.key.is_some() && call.context.parent.is_none() {
-            match charged(world.quota.take(now, &call.context.team)) {
+            let team = call.context.team.clone();
+            let others = self.waiting_beside(number, &team);
+            let Some(call) = self.calls.get_mut(&number) else {
+                return;
+            };
+            match charged(world.quota.take_beside(now, &team, others)) {
                 Ok(Some(grant)) => call.grant = Some(grant),
                 Ok(None) if now < until => {
                     self.charging.insert(number);
                     return self.wake(number, until);
                 }
-                Ok(None) => return self.fail(now, number, Code::RateUnavailable, world, out),
+                Ok(None) => {
+                    let code = match world.quota.is_over(now, &call.context.team) {
+                        true => Code::RateExceeded,
+                        false => Code::RateUnavailable,
+                    };
+                    return self.fail(now, number, code, world, out);
+                }
                 Err(code) => return self.fail(now, number, code, world, out),
             }
         }
@@ -190,6 +199,15 @@
         self.first(now, number, world, out);
     }
 
+    /// Other calls of the team that wait for a token.
+    fn waiting_beside(&self, number: id::Call, team: &id::Team) -> u32 {
+        let of = |other: &&id::Call| {
+            let call = self.calls.get(*other);
+            **other != number && call.is_some_and(|call| call.context.team == *team)
+        };
+        self.charging.iter().filter(of).count() as u32
+    }
+
     /// Takes another token for a root whose token ended before it began.
     pub(super) fn recharge(
         &mut self,
@@ -200,7 +218,7 @@
     ) {
         if let Some(call) = self.calls.get_mut(&number) {
             call.grant = None;
-            call.state = State::Charging(call.deadline.min(now + CHARGING));
+            call.state = State::Charging(call.deadline.min(now + world.policy.token_wait));
         }
         self.charge(now, number, world, out);
     }
--- a/src/request/policy.rs
+++ b/src/request/policy.rs
@@ -4,6 +4,12 @@
 //! mechanisms away, or put a well-known simpler one in their place, in this
 //! same code.
 
+use crate::clock::Span;
+
+/// How long a call waits for a rate token: an owner that was lost has a
+/// successor by then.
+const TOKEN_WAIT: Span = Span::from_ms(500);
+
 /// How an inbound proxy decides what to take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
@@ -59,6 +65,8 @@
     /// How often a call goes on to another instance, beside its retries, when
     /// one refused it before its upstream had seen it.
     pub reroutes: u8,
+    /// How long a call waits for a rate token.
+    pub token_wait: Span,
     /// What nobody waits for any longer is cancelled, with its nested calls.
     pub cancel: bool,
     /// Instances are picked by load; else by chance.
@@ -99,6 +107,7 @@
             newest_first: true,
             deadline: true,
             reroutes: 0,
+            token_wait: TOKEN_WAIT,
             cancel: true,
             load: true,
             domain: true,
--- a/tests/rights.rs
+++ b/tests/rights.rs
@@ -5,6 +5,8 @@
 
 #[path = "rights/fleet.rs"]
 mod fleet;
+#[path = "rights/pool.rs"]
+mod pool;
 #[path = "rights/seats.rs"]
 mod seats;
 #[path = "rights/window.rs"]
