Upstream: whether an answer may end with its connection belongs to the surroundings

Cause: the own interface takes an answer without length for cut, and two path tests say so; the platform's servers end whole answers by closing.

--- a/src/command/node.rs
+++ b/src/command/node.rs
@@ -91,7 +91,9 @@
 /// Runs a node until it is told to stop.
 pub(crate) fn serve_node(start: Start) -> Result<(), Failure> {
     lines::init();
-    actix_rt::System::new().block_on(serve(start))
+    let served = actix_rt::System::new().block_on(serve(start));
+    lines::flush();
+    served
 }
 
 async fn serve(start: Start) -> Result<(), Failure> {
--- a/src/connection/upstream.rs
+++ b/src/connection/upstream.rs
@@ -89,6 +89,9 @@
     address: SocketAddr,
     keep: Span,
     names: Names,
+    /// Whether an answer may end with its connection. Where it may not, one that
+    /// says no length cannot be told from one that was cut.
+    closes: bool,
     idle: RefCell<VecDeque<Idle>>,
 }
 
@@ -118,11 +121,12 @@
 }
 
 impl Pool {
-    pub(crate) fn new(address: SocketAddr, keep: Span, names: Names) -> Self {
+    pub(crate) fn new(address: SocketAddr, keep: Span, names: Names, closes: bool) -> Self {
         Self {
             address,
             keep,
             names,
+            closes,
             idle: RefCell::default(),
         }
     }
@@ -189,6 +193,9 @@
             return Err(End::Cut);
         }
         let framed = is_framed(&answer, &head.method);
+        if !framed && !self.closes {
+            return Err(End::Cut);
+        }
         let empty = framed && codec.message_type() == h1::MessageType::None;
         let reuse = sent && framed && codec.keep_alive();
         let keep = keep_time(answer.headers()).map_or(self.keep, |keep| keep.min(self.keep));
--- a/src/process/carrier.rs
+++ b/src/process/carrier.rs
@@ -189,6 +189,7 @@
                 settings.upstream,
                 settings.limits.upstream_idle,
                 interface.names,
+                interface.closes,
             ),
             socket,
             datagrams: Cell::default(),
--- a/src/process/interface.rs
+++ b/src/process/interface.rs
@@ -56,6 +56,9 @@
     pub announcement: fn(Notice<'_>) -> Result<Word>,
     /// The path of the question whether callers may be sent here.
     pub ready_path: &'static str,
+    /// Whether an upstream's answer may end with its connection, whole if that
+    /// ends in order.
+    pub closes: bool,
     /// Answers up to this size are held until they are whole. What is cut
     /// before can still be tried again, and never looks like a success.
     pub held_answer: Size,
@@ -73,6 +76,7 @@
             configuration: None,
             announcement: Word::read,
             ready_path: "/health",
+            closes: false,
             held_answer: Size::bytes(0),
             held_body: Size::kib(64),
         }
--- a/src/process/log.rs
+++ b/src/process/log.rs
@@ -91,12 +91,32 @@
     DROPPED.load(Ordering::Relaxed)
 }
 
+/// Lines that were taken and not written yet.
+static OPEN: AtomicU64 = AtomicU64::new(0);
+
+/// The longest wait for the last lines.
+const LAST: Span = Span::from_ms(300);
+
+/// Waits, not for long, until everything that was logged has been written: the
+/// process is about to end.
+pub fn flush() {
+    let pause = Span::from_ms(5);
+    for _ in 0..LAST.as_ms() / pause.as_ms() {
+        if OPEN.load(Ordering::Relaxed) == 0 {
+            return;
+        }
+        std::thread::sleep(pause.to_std());
+    }
+}
+
 /// Takes lines without ever waiting for whoever reads them.
 struct Outlet(mpsc::SyncSender<Vec<u8>>);
 
 impl Write for Outlet {
     fn write(&mut self, line: &[u8]) -> std::io::Result<usize> {
+        OPEN.fetch_add(1, Ordering::Relaxed);
         if self.0.try_send(line.to_vec()).is_err() {
+            OPEN.fetch_sub(1, Ordering::Relaxed);
             DROPPED.fetch_add(1, Ordering::Relaxed);
         }
         Ok(line.len())
@@ -112,13 +132,17 @@
 fn drain(lines: &mpsc::Receiver<Vec<u8>>, mut output: impl Write) {
     while let Ok(first) = lines.recv() {
         let mut batch = first;
+        let mut count = 1;
         std::thread::sleep(PAUSE.to_std());
         while batch.len() < BATCH
             && let Ok(line) = lines.try_recv()
         {
             batch.extend_from_slice(&line);
+            count += 1;
         }
-        if output.write_all(&batch).and_then(|()| output.flush()).is_err() {
+        let written = output.write_all(&batch).and_then(|()| output.flush());
+        OPEN.fetch_sub(count, Ordering::Relaxed);
+        if written.is_err() {
             return;
         }
     }
--- a/src/standin/caller.rs
+++ b/src/standin/caller.rs
@@ -68,7 +68,7 @@
 impl Caller {
     /// A caller of one node.
     pub fn new(address: SocketAddr) -> Self {
-        Self(Pool::new(address, KEEP, Names::own()))
+        Self(Pool::new(address, KEEP, Names::own(), false))
     }
 
     /// Sends a request without a body.
--- a/tests/driver.rs
+++ b/tests/driver.rs
@@ -52,6 +52,7 @@
         "secret",
     );
     Snapshot {
+        callers: None,
         version: Version(1),
         tables: Tables { routes, pools },
         teams: Teams {
--- a/tests/path/bench.rs
+++ b/tests/path/bench.rs
@@ -206,6 +206,7 @@
     let pools = json!([{ "name": "registry", "slots": 64, "drain": "30s" }]);
     let name = |text: &str| text.parse().expect("a name");
     Snapshot {
+        callers: None,
         version: id::Version(1),
         tables: Tables {
             routes: serde_json::from_value(routes).expect("routes"),
--- a/tests/policy/inbound.rs
+++ b/tests/policy/inbound.rs
@@ -61,6 +61,7 @@
         "secret",
     );
     Snapshot {
+        callers: None,
         version: id::Version(1),
         tables: Tables {
             routes: vec![serde_json::from_str(route).expect("a row")],
