--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -427,6 +427,7 @@
             replayable: call.replayable,
             left: call.left,
             stale: self.is_stale(now),
+            leaving: self.is_closing(now),
         };
         self.ingress(now, ingress::Event::Arrival(Box::new(arrival)), out);
     }
--- a/src/process/node/listed.rs
+++ b/src/process/node/listed.rs
@@ -161,6 +161,13 @@
         })
     }
 
+    /// Whether the stop of this node is so near that no new call may begin. The
+    /// platform has stopped sending callers long before.
+    pub(super) fn is_closing(&self, now: Time) -> bool {
+        let leaving = self.listed.as_ref().and_then(|listed| listed.leaving);
+        leaving.is_some_and(|since| now.since(since) >= LINGER)
+    }
+
     pub(super) fn listed_refusal(&self) -> Option<Code> {
         (self.snapshot.version == Version(0)).then_some(Code::ConfigAbsent)
     }
--- a/src/process/server.rs
+++ b/src/process/server.rs
@@ -84,7 +84,7 @@
 const DRAIN: Span = Span::from_secs(30);
 
 /// Time for the last bytes of answers and frames to leave the node.
-const LINGER: Span = Span::from_secs(1);
+const LINGER: Span = Span::from_ms(500);
 
 /// How often a call goes on to another instance because one refused it before
 /// its upstream had seen it. With more, callers wait longer for a refusal that
@@ -319,8 +319,12 @@
     /// for the pool's drain time, and closes all sockets.
     pub async fn wait(self) -> Stop {
         self.carrier.drained().await;
-        let limit = self.drain_time().to_std();
-        let stopped = tokio::time::timeout(limit, self.carrier.stopped()).await;
+        let limit = match self.carrier.settings().grace {
+            // The last bytes are to leave within the same time.
+            Some(grace) => grace - LINGER,
+            None => self.drain_time(),
+        };
+        let stopped = tokio::time::timeout(limit.to_std(), self.carrier.stopped()).await;
         self.close().await;
         match stopped {
             Ok(()) => Stop::Clean,
@@ -329,9 +333,6 @@
     }
 
     fn drain_time(&self) -> Span {
-        if let Some(grace) = self.carrier.settings().grace {
-            return grace;
-        }
         let core = self.carrier.core();
         let pool = core.snapshot().tables.pool(&self.carrier.settings().pool);
         pool.map_or(DRAIN, |pool| pool.drain)
--- a/src/request/ingress.rs
+++ b/src/request/ingress.rs
@@ -89,6 +89,8 @@
     /// The configuration may be out of date, so that neither a key nor the
     /// absence of a route proves anything.
     pub stale: bool,
+    /// This node stops soon: what begins now could not be finished.
+    pub leaving: bool,
 }
 
 /// What happens to calls.
--- a/src/request/ingress/arrival.rs
+++ b/src/request/ingress/arrival.rs
@@ -65,6 +65,11 @@
             (None, true) => return Err(Code::ConfigStale),
             (None, false) => return Err(Code::RouteUnknown),
         };
+        // Calls of the service beside this node belong to requests that began
+        // earlier, and those are to be finished.
+        if arrival.leaving && !route.keyless {
+            return Err(Code::Leaving);
+        }
         let mut context = match &arrival.origin {
             Origin::Caller { .. } if route.keyless => self.keyless(arrival.call, route, world),
             Origin::Caller { .. } if arrival.stale => return Err(Code::ConfigStale),
--- a/tests/policy/orders.rs
+++ b/tests/policy/orders.rs
@@ -213,6 +213,7 @@
         let arrival = Arrival {
             left: None,
             stale: false,
+            leaving: false,
             call: CALL,
             origin: Origin::Caller {
                 key: Some("k.secret".into()),
