Overload: requests are held to the level of the calls that they will make

Nothing here tells which request made a call, so the node beside a service fits it from what runs together (request/habit.rs); calls themselves are no longer shed, and wait for up to half their time.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -65,6 +65,7 @@
         allowance,
         balance,
         context,
+        habit,
         inbound,
         ingress,
         limit,
--- a/src/process/carrier.rs
+++ b/src/process/carrier.rs
@@ -32,7 +32,8 @@
     announce::Announcer,
     clock::{
         Clock,
-        Span, //
+        Span,
+        Time, //
     },
     code::Code,
     connection::{
@@ -103,6 +104,9 @@
     pub(crate) abort: Option<oneshot::Sender<()>>,
 }
 
+/// Time between two summaries in the log.
+const SUMMARY: Span = Span::from_secs(2);
+
 /// What everybody knows where the network is trusted.
 const TRUSTED: &str = "the network is trusted";
 
@@ -148,6 +152,8 @@
     draining: Cell<bool>,
     stopped: Cell<bool>,
     left: Cell<bool>,
+    /// What the last summary in the log told, and when.
+    told: RefCell<(Time, Counts)>,
     /// Told when the node begins to drain, and when it has stopped.
     changed: Notify,
     /// Told when the first request comes after a time without any.
@@ -197,6 +203,7 @@
             draining: Cell::new(false),
             stopped: Cell::new(false),
             left: Cell::new(false),
+            told: RefCell::default(),
             changed: Notify::new(),
             woken: Notify::new(),
             settings,
@@ -540,6 +547,28 @@
         });
     }
 
+    /// Logs what was counted since the last summary. Single refusals may be too
+    /// many for the log; their sum by reason never is.
+    pub(crate) fn summarize(&self, now: Time) {
+        let mut told = self.told.borrow_mut();
+        if now.since(told.0) < SUMMARY {
+            return;
+        }
+        let core = self.core();
+        let counts = core.counts();
+        let news: Vec<_> = counts
+            .iter()
+            .map(|(counter, count)| (counter, count - told.1.get(counter)))
+            .filter(|(_, count)| *count > 0)
+            .map(|(counter, count)| format!("{counter:?}={count}"))
+            .collect();
+        let report = self.core.borrow().load_line();
+        if !news.is_empty() {
+            log::info!(counts = news.join(" "), load = report; "summary");
+        }
+        *told = (now, counts.clone());
+    }
+
     pub(crate) fn weak(&self) -> Weak<Self> {
         self.weak.clone()
     }
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -289,6 +289,11 @@
         &mut self.members
     }
 
+    /// How the upstream is used, in one line.
+    pub(crate) fn load_line(&self) -> String {
+        self.proxy.load_line()
+    }
+
     /// What has been counted.
     pub fn counts(&self) -> &Counts {
         &self.counts
--- a/src/process/node/listed.rs
+++ b/src/process/node/listed.rs
@@ -87,10 +87,15 @@
     }
 }
 
-/// The share of the bounds on retries that nodes use. The rest is for what
-/// they cannot see: calls that repeated requests make further down, and demand
-/// that has moved between two windows.
-const RETRY_SHARE: f64 = 0.4;
+/// The share of the bound on the ratio that nodes use, and for how long ahead it
+/// may be saved: a fifth of the window more, so that both together stay within.
+const RATIO_SHARE: f64 = 0.8;
+const AHEAD_SHARE: f64 = 0.2;
+/// The shares of the slack that come evenly, and that may be saved.
+const FLOOR_SHARE: f64 = 0.4;
+const SAVED_SHARE: f64 = 0.4;
+/// The part of the saved retries that only critical requests and calls use.
+const RESERVE: f64 = 0.5;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Task {
@@ -233,9 +238,13 @@
         let banks = self.banks(nodes);
         self.quota.share().adopt(now, nodes as u32, certain, banks);
         let seconds = bounds.retry_window.as_secs_f64();
+        let slack = bounds.retry_slack / nodes as f64;
         self.router.limit_retries(Terms {
-            ratio: bounds.retry_ratio * RETRY_SHARE,
-            floor: bounds.retry_slack * RETRY_SHARE / seconds / nodes as f64,
+            ratio: bounds.retry_ratio * RATIO_SHARE,
+            floor: slack * FLOOR_SHARE / seconds,
+            saved: slack * SAVED_SHARE,
+            ahead: bounds.retry_window.scale(AHEAD_SHARE),
+            reserve: RESERVE,
         });
     }
 
--- a/src/process/server.rs
+++ b/src/process/server.rs
@@ -184,6 +184,7 @@
             core.list(source, bounds);
             core.set_policy(Policy {
                 reroutes: REROUTES,
+                habits: true,
                 token_wait: TOKEN_WAIT,
                 ..Policy::default()
             });
@@ -575,6 +576,7 @@
             carrier.upstream.prune(now);
             carrier.links.prune(&carrier, now);
             carrier.listen_for_silence(now);
+            carrier.summarize(now);
         }
     }
 }
--- a/src/request/admission.rs
+++ b/src/request/admission.rs
@@ -36,6 +36,11 @@
 impl Rank {
     /// The rank of a request that carries this context.
     pub fn of(context: &Context, nested_first: bool) -> Self {
+        // A call of which nothing tells its root: whatever is decided on the
+        // root was decided where that began, and is not decided again here.
+        if context.team_of_key().is_none() && context.parent.is_none() && context.depth > 0 {
+            return Self(u16::MAX);
+        }
         let nested = nested_first && context.depth > 0;
         let bonus = if nested { NESTED } else { 0 };
         Self::new(context.importance, place(context.root), bonus)
--- a/src/request/admission/level.rs
+++ b/src/request/admission/level.rs
@@ -132,6 +132,11 @@
         self.divide();
     }
 
+    /// How many importances are shed, and which part of the next.
+    pub fn height(&self) -> f64 {
+        self.height
+    }
+
     /// Whether anything is shed.
     pub fn overloaded(&self) -> bool {
         self.height > 0.0
--- a/src/request/admission/seen.rs
+++ b/src/request/admission/seen.rs
@@ -68,6 +68,13 @@
         }
     }
 
+    /// Forgets what an instance told of a route.
+    pub fn forget_peer(&mut self, route: &Route, peer: &Instance) {
+        for peers in self.seen.get_mut(route).into_iter().flat_map(BTreeMap::values_mut) {
+            self.len -= usize::from(peers.remove(peer).is_some());
+        }
+    }
+
     /// The level now believed to hold: the median of the instances heard of, so
     /// that one slow instance does not shed what the others would take.
     pub fn level(&self, now: Time, route: &Route, team: &Team) -> u16 {
@@ -97,12 +104,22 @@
         habits.retain(|_, share| *share > HABIT / 2.0);
     }
 
+    /// Sets how many calls a request of a route makes on another.
+    pub fn calls(&mut self, route: &Route, called: &Route, share: f64) {
+        let habits = self.calls.entry(route.clone()).or_default();
+        habits.insert(called.clone(), share);
+        habits.retain(|_, share| *share > HABIT / 2.0);
+    }
+
     /// The highest level among the routes that this one calls.
     pub fn below(&self, now: Time, route: &Route, team: &Team) -> u16 {
         let habits = self.calls.get(route).into_iter().flatten();
         habits
             .filter(|(_, share)| **share >= OFTEN)
-            .map(|(called, _)| self.level(now, called, team))
+            .map(|(called, _)| {
+                let services = self.level(now, called, &Team::services());
+                self.level(now, called, team).max(services)
+            })
             .max()
             .unwrap_or(0)
     }
--- a/src/request/inbound.rs
+++ b/src/request/inbound.rs
@@ -41,6 +41,7 @@
     context::Context,
     document::Snapshot,
     frame::Fate,
+    habit::Habits,
     id,
     limit::Limit,
     metric::{
@@ -55,6 +56,10 @@
 /// How long a cancelled attempt that has not arrived is refused at least.
 const CANCELLED: Span = Span::from_secs(60);
 
+/// How long after a call of the service failed an answer is blamed on it: the
+/// service answers within milliseconds once its call has failed.
+const BLAMED: Span = Span::from_ms(60);
+
 /// How the upstream's part of an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
@@ -169,6 +174,9 @@
     limit: Limit,
     controller: Controller,
     memory: Memory,
+    habits: Habits,
+    /// When a call of the service failed last.
+    failed: Option<Time>,
 }
 
 impl Proxy {
@@ -187,6 +195,8 @@
             limit: Limit::default(),
             controller: Controller::default(),
             memory: Memory::default(),
+            habits: Habits::default(),
+            failed: None,
         }
     }
 
@@ -195,6 +205,18 @@
         self.running.len() + self.waiting.len()
     }
 
+    /// How the upstream is used, in one line.
+    pub(crate) fn load_line(&self) -> String {
+        format!(
+            "running {} of {}, waiting {}, level {:.2}, typical {} ms",
+            self.running.len(),
+            self.site.slots().unwrap_or(0),
+            self.waiting.len(),
+            self.controller.height(),
+            self.site.usual_ms(),
+        )
+    }
+
     /// Whether nothing is in flight or waits.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
@@ -252,7 +274,7 @@
         Report {
             level,
             spent: purse.spent(),
-            final_word: purse.final_word,
+            final_word: purse.final_word || self.failed.is_some_and(|at| now.since(at) <= BLAMED),
             ..self.state(now)
         }
     }
@@ -272,6 +294,31 @@
         }
     }
 
+    /// Remembers that some running attempt calls this route.
+    pub fn called(&mut self, route: &id::Route) {
+        self.habits.called(route);
+    }
+
+    /// Remembers that a call of the service failed. The attempt that made it
+    /// will most likely fail for that, and trying it again would repeat all its
+    /// other calls.
+    pub fn call_failed(&mut self, now: Time) {
+        self.failed = Some(now);
+    }
+
+    /// Looks at what runs, and tells which routes call which.
+    fn learn(&mut self, now: Time, world: &mut World<'_>) {
+        let running = self.running.values().map(|running| &running.route);
+        if !world.policy.habits || !self.habits.look(now, running) {
+            return;
+        }
+        for (route, called) in self.habits.pairs() {
+            let took = self.site.usual(route);
+            let share = self.habits.share(route, called, took);
+            world.levels.calls(route, called, share);
+        }
+    }
+
     /// Takes one event and adds what is to be done.
     pub fn on(&mut self, now: Time, event: Event, world: &mut World<'_>, out: &mut Vec<Action>) {
         self.site.configure(world.snapshot);
@@ -467,6 +514,7 @@
         self.expire(now, world, out);
         self.limit.tick(now);
         self.control(now, world);
+        self.learn(now, world);
         self.memory.tick(now);
     }
 }
--- a/src/request/inbound/running.rs
+++ b/src/request/inbound/running.rs
@@ -187,7 +187,9 @@
                 if now <= running.deadline {
                     self.site.took(now, &running.route, took);
                 }
-                world.levels.learn(&running.route, &running.called);
+                if !world.policy.habits {
+                    world.levels.learn(&running.route, &running.called);
+                }
             }
             End::Refused => self.limit.refused(),
             End::Rejected | End::Cut | End::Aborted => {}
--- a/src/request/inbound/waiting.rs
+++ b/src/request/inbound/waiting.rs
@@ -35,6 +35,9 @@
     record::Claim,
 };
 
+/// The share of its time that a call of a service may wait. Refusing it fails
+/// the whole request that made it, with all that was done for that.
+const CALL_PATIENCE: f64 = 0.5;
 /// The longest wait, in targets of the queue's delay.
 const PATIENCE: f64 = 10.0;
 
@@ -99,7 +102,10 @@
         out: &mut Vec<Action>,
     ) {
         if world.policy.admission == Admission::Level {
-            let patience = self.target(now).scale(PATIENCE);
+            let mut patience = self.target(now).scale(PATIENCE);
+            if waiting.context.depth > 0 && world.policy.habits {
+                patience = patience.max(waiting.context.left.scale(CALL_PATIENCE));
+            }
             waiting.expires = waiting.expires.min(now + patience);
         }
         let item = item(request, &waiting, world);
--- a/src/request/ingress/arrival.rs
+++ b/src/request/ingress/arrival.rs
@@ -77,6 +77,9 @@
             Origin::Service { parent } => nested(parent.as_ref(), route, world)?,
         };
         context.left = arrival.left.map_or(context.left, |left| left.min(context.left));
+        if context.key.is_none() && context.parent.is_none() {
+            world.proxy.called(&route.name);
+        }
         if let Some(parent) = context.parent {
             world.proxy.calls(parent, &route.name);
             self.children
--- a/src/request/ingress/attempt.rs
+++ b/src/request/ingress/attempt.rs
@@ -173,7 +173,7 @@
                 out.push(Action::Cancel(peer.clone(), request));
                 return self.retry(now, number, Failure::Failed, reason, world, out);
             }
-            self.last_word(number, world);
+            self.last_word(now, number, world);
             if let Some(attempt) = self.attempts.get_mut(&request) {
                 attempt.mark = mark;
             }
@@ -232,7 +232,10 @@
             return;
         };
         let mark = match code {
-            Code::UpstreamRefused | Code::UpstreamCut | Code::LinkAbsent => Mark::Ill,
+            Code::UpstreamRefused
+            | Code::UpstreamRejected
+            | Code::UpstreamCut
+            | Code::LinkAbsent => Mark::Ill,
             Code::DeadlinePassed => Mark::Neither,
             _ => Mark::Well,
         };
@@ -483,11 +486,12 @@
             return call.retries < most;
         }
         let pool = call.pool.clone();
+        let importance = call.context.importance;
         let Some(purse) = call.purse(world.proxy.purses()) else {
             return false;
         };
         let some = purse.left() > 0 && !final_word;
-        some && (!world.policy.ratio || self.budget.take(now, &pool)) && purse.take()
+        some && (!world.policy.ratio || self.budget.take(now, &pool, importance)) && purse.take()
     }
 
     pub(super) fn retry(
--- a/src/request/ingress/end.rs
+++ b/src/request/ingress/end.rs
@@ -43,7 +43,7 @@
         {
             world.quota.give_back(now, &call.context.team, grant);
         }
-        self.last_word(number, world);
+        self.last_word(now, number, world);
         world.counts.add(Counter::Refused(code));
         out.push(Action::Refuse(number, code));
         self.forget(number);
@@ -51,10 +51,13 @@
 
     /// The attempt that made this call must not be tried again for its failure:
     /// this hop has judged it.
-    pub(super) fn last_word(&mut self, number: id::Call, world: &mut World<'_>) {
+    pub(super) fn last_word(&mut self, now: Time, number: id::Call, world: &mut World<'_>) {
         let Some(call) = self.calls.get_mut(&number) else {
             return;
         };
+        if call.context.key.is_none() && call.context.parent.is_none() {
+            world.proxy.call_failed(now);
+        }
         if let Some(parent) = call.context.parent
             && let Some(purse) = world.proxy.purses().get_mut(&parent)
         {
@@ -160,9 +163,14 @@
         };
         if let Some(call) = self.calls.get(&attempt.call) {
             let team = &call.context.team;
-            world
-                .levels
-                .note(now, peer, &call.route, team, report.level);
+            // One that leaves sheds nothing, as it takes nothing: its level
+            // would hide that those which stay are overloaded.
+            match report.leaving {
+                true => world.levels.forget_peer(&call.route, peer),
+                false => world
+                    .levels
+                    .note(now, peer, &call.route, team, report.level),
+            }
         }
         Some(attempt.call)
     }
--- a/src/request/policy.rs
+++ b/src/request/policy.rs
@@ -65,6 +65,9 @@
     /// How often a call goes on to another instance, beside its retries, when
     /// one refused it before its upstream had seen it.
     pub reroutes: u8,
+    /// Which requests make which calls is learnt from what runs together, as
+    /// nothing tells it.
+    pub habits: bool,
     /// How long a call waits for a rate token.
     pub token_wait: Span,
     /// What nobody waits for any longer is cancelled, with its nested calls.
@@ -107,6 +110,7 @@
             newest_first: true,
             deadline: true,
             reroutes: 0,
+            habits: false,
             token_wait: TOKEN_WAIT,
             cancel: true,
             load: true,
--- a/src/request/retry.rs
+++ b/src/request/retry.rs
@@ -15,6 +15,7 @@
         Time, //
     },
     code::Code,
+    context::Importance,
     id::Pool, //
 };
 
@@ -25,6 +26,8 @@
 const FLOOR: f64 = 2.0;
 /// Retries that may be saved up.
 const SAVED: f64 = 20.0;
+/// The time over which the rate of first tries is taken.
+const LATELY: Span = Span::from_secs(2);
 /// The ceiling of the first wait, doubled for each further one.
 const WAIT: Span = Span::from_ms(10);
 const LONGEST_WAIT: Span = Span::from_ms(500);
@@ -93,6 +96,12 @@
     pub ratio: f64,
     /// Retries a second that are always allowed.
     pub floor: f64,
+    /// Retries that may be saved up.
+    pub saved: f64,
+    /// For so much of the present first tries their share may be saved beside.
+    pub ahead: Span,
+    /// The part of what may be saved that only the most important requests use.
+    pub reserve: f64,
 }
 
 impl Default for Terms {
@@ -100,6 +109,9 @@
         Self {
             ratio: RATIO,
             floor: FLOOR,
+            saved: SAVED,
+            ahead: Span::ZERO,
+            reserve: 0.0,
         }
     }
 }
@@ -115,6 +127,8 @@
 struct Saved {
     tokens: f64,
     at: Time,
+    /// First tries a second, of late.
+    rate: f64,
 }
 
 impl Budget {
@@ -125,33 +139,48 @@
 
     /// Counts a first try.
     pub fn first(&mut self, now: Time, pool: &Pool) {
-        let ratio = self.terms.ratio;
+        let terms = self.terms;
         let saved = self.saved(now, pool);
-        saved.tokens = (saved.tokens + ratio).min(SAVED);
+        saved.rate += 1.0 / LATELY.as_secs_f64();
+        saved.tokens = (saved.tokens + terms.ratio).min(saved.most(terms));
     }
 
-    /// Takes one retry, if the pool has one.
-    pub fn take(&mut self, now: Time, pool: &Pool) -> bool {
+    /// Takes one retry, if the pool has one for a request of this importance.
+    pub fn take(&mut self, now: Time, pool: &Pool, importance: Importance) -> bool {
+        let terms = self.terms;
         let saved = self.saved(now, pool);
-        let some = saved.tokens >= 1.0;
+        let kept = match importance {
+            Importance::Critical => 0.0,
+            _ => saved.most(terms) * terms.reserve,
+        };
+        let some = saved.tokens >= 1.0 + kept;
         saved.tokens -= f64::from(u8::from(some));
         some
     }
 
     fn saved(&mut self, now: Time, pool: &Pool) -> &mut Saved {
-        let floor = self.terms.floor;
+        let terms = self.terms;
         let fresh = Saved {
-            tokens: floor,
+            tokens: terms.floor.min(terms.saved),
             at: now,
+            rate: 0.0,
         };
         let saved = self.pools.entry(pool.clone()).or_insert(fresh);
-        let gained = now.since(saved.at).as_secs_f64() * floor;
-        saved.tokens = (saved.tokens + gained).min(SAVED);
+        let passed = now.since(saved.at);
+        let gained = passed.as_secs_f64() * terms.floor;
+        saved.rate *= (-passed.as_secs_f64() / LATELY.as_secs_f64()).exp();
+        saved.tokens = (saved.tokens + gained).min(saved.most(terms));
         saved.at = now;
         saved
     }
 }
 
+impl Saved {
+    fn most(&self, terms: Terms) -> f64 {
+        terms.saved + terms.ratio * self.rate * terms.ahead.as_secs_f64()
+    }
+}
+
 /// The wait before a retry, anywhere up to a ceiling that doubles, so that
 /// requests which failed together do not return together.
 pub fn jitter(retries: u8, rng: &mut ChaCha8Rng) -> Span {
