--- a/src/command/demo/service.rs
+++ b/src/command/demo/service.rs
@@ -147,7 +147,11 @@
             let text = value.and_then(|value| value.to_str().ok());
             text.unwrap_or_default().to_owned()
         };
-        let (id, flow, token) = (header(ID), header(FLOW), header(Names::own().token.unwrap_or_default()));
+        let (id, flow, token) = (
+            header(ID),
+            header(FLOW),
+            header(Names::own().token.unwrap_or_default()),
+        );
         let is_root = header(NESTED).is_empty();
         self.look(&request);
         let Ok(_slot) = self.slots.acquire().await else {
@@ -173,7 +177,15 @@
     async fn call(&self, path: &str, token: &str) -> bool {
         let egress = self.egress.borrow().clone();
         let Some(egress) = egress else { return false };
-        let answer = egress.get(path, &[(Names::own().token.unwrap_or_default(), token), (NESTED, "yes")]).await;
+        let answer = egress
+            .get(
+                path,
+                &[
+                    (Names::own().token.unwrap_or_default(), token),
+                    (NESTED, "yes"),
+                ],
+            )
+            .await;
         answer.is_ok_and(|answer| answer.status == 200)
     }
 
--- a/src/connection/door.rs
+++ b/src/connection/door.rs
@@ -283,9 +283,7 @@
     if let Some(begun) = begun {
         return Some(begun + limits.head);
     }
-    shared
-        .is_idle()
-        .then(|| shared.settled.get() + limits.idle)
+    shared.is_idle().then(|| shared.settled.get() + limits.idle)
 }
 
 /// The request that is being read fails, and with it the connection.
@@ -586,7 +584,9 @@
 /// Writes the line that begins an answer.
 pub(crate) fn begin_head(output: &mut BytesMut, status: u16) {
     let reason = StatusCode::from_u16(status).ok();
-    let reason = reason.and_then(|s| s.canonical_reason()).unwrap_or("Unknown");
+    let reason = reason
+        .and_then(|s| s.canonical_reason())
+        .unwrap_or("Unknown");
     output.extend_from_slice(format!("HTTP/1.1 {status} {reason}\r\n").as_bytes());
 }
 
@@ -602,4 +602,3 @@
     /// Time that a connection may be idle.
     pub(crate) idle: Span,
 }
-
--- a/src/connection/header.rs
+++ b/src/connection/header.rs
@@ -146,7 +146,9 @@
     original: &HeaderMap,
     names: &Names,
 ) -> Option<String> {
-    let own = original.get(names.key).and_then(|value| value.to_str().ok());
+    let own = original
+        .get(names.key)
+        .and_then(|value| value.to_str().ok());
     if !names.bearer {
         return own.map(str::to_owned);
     }
--- a/src/connection/upstream.rs
+++ b/src/connection/upstream.rs
@@ -252,7 +252,9 @@
             if echoed.is_none_or(|echoed| echoed == wanted) {
                 return Ok(head);
             }
-            let length = length(&head).filter(|length| *length <= STRAY_LIMIT).ok_or(Cut)?;
+            let length = length(&head)
+                .filter(|length| *length <= STRAY_LIMIT)
+                .ok_or(Cut)?;
             while (input.len() as u64) < length {
                 fill(reader, input).await?;
             }
--- a/src/process/announce.rs
+++ b/src/process/announce.rs
@@ -181,7 +181,9 @@
         if known.state == State::Gone {
             return Verdict::Old;
         }
-        let old = word.sequence.is_some_and(|sequence| sequence <= known.sequence);
+        let old = word
+            .sequence
+            .is_some_and(|sequence| sequence <= known.sequence);
         match old {
             true => Verdict::Old,
             false => self.believe(now, word, Some(known)),
@@ -192,15 +194,17 @@
         let upstream = Upstream {
             name: word.upstream.clone(),
             life: word.life.or(before.map(|b| b.life)).unwrap_or_default(),
-            sequence: word.sequence.or(before.map(|b| b.sequence)).unwrap_or_default(),
+            sequence: word
+                .sequence
+                .or(before.map(|b| b.sequence))
+                .unwrap_or_default(),
             state: word.state,
             slots: word.slots.or(before.and_then(|b| b.slots)),
             warmup: word.warmup,
         };
         self.heard = now;
-        let same = before.is_some_and(|before| {
-            before.state == upstream.state && before.slots == upstream.slots
-        });
+        let same = before
+            .is_some_and(|before| before.state == upstream.state && before.slots == upstream.slots);
         self.upstream = Some(upstream);
         match same {
             true => Verdict::Same,
--- a/src/process/carrier.rs
+++ b/src/process/carrier.rs
@@ -595,7 +595,9 @@
 fn tell(note: &Note) {
     match note {
         Note::Adopted(version) => log::info!(version = version.0; "a configuration is in force"),
-        Note::Unusable(reason) => log::warn!(reason = reason.as_str(); "a configuration is unusable"),
+        Note::Unusable(reason) => {
+            log::warn!(reason = reason.as_str(); "a configuration is unusable")
+        }
         Note::Store { stale, age } => {
             let age = age.map(Span::as_ms);
             log::warn!(stale = *stale, age_ms = age.unwrap_or_default(); "the store's last word");
--- a/src/process/directory.rs
+++ b/src/process/directory.rs
@@ -349,7 +349,10 @@
                     .filter_map(|entry| peer(&entry.key, &entry.value))
                     .collect();
                 self.absent(now, &there);
-                there.into_iter().filter_map(|peer| self.put(peer)).collect()
+                there
+                    .into_iter()
+                    .filter_map(|peer| self.put(peer))
+                    .collect()
             }
             Answer::Changes { changes, at } => {
                 self.after = Some(at);
@@ -382,7 +385,12 @@
     /// Members that a fresh look does not show have lapsed.
     fn absent(&mut self, now: Time, there: &[Peer]) {
         let is_there = |name: &Instance| there.iter().any(|peer| peer.instance == *name);
-        let gone: Vec<_> = self.members.keys().filter(|name| !is_there(name)).cloned().collect();
+        let gone: Vec<_> = self
+            .members
+            .keys()
+            .filter(|name| !is_there(name))
+            .cloned()
+            .collect();
         for name in gone {
             self.lapsed.entry(name).or_insert(now);
         }
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -8,8 +8,8 @@
 mod listed;
 mod rights;
 
-pub use self::listed::Bounds;
 pub(crate) use self::fleet::CHOICE;
+pub use self::listed::Bounds;
 
 use std::{
     collections::BTreeMap,
--- a/src/process/quota/holder.rs
+++ b/src/process/quota/holder.rs
@@ -239,7 +239,9 @@
     /// Whether a team that gets no token is over its rate; else no owner of its
     /// rate can be reached.
     pub fn is_over(&self, now: Time, team: &Team) -> bool {
-        self.pool.as_ref().is_some_and(|pool| pool.is_over(now, team))
+        self.pool
+            .as_ref()
+            .is_some_and(|pool| pool.is_over(now, team))
     }
 
     /// Notes that the request which took this token has begun.
--- a/src/process/quota/pool.rs
+++ b/src/process/quota/pool.rs
@@ -600,6 +600,5 @@
             self.taken = 0;
             self.window = now;
         }
-
     }
 }
--- a/src/process/relay.rs
+++ b/src/process/relay.rs
@@ -273,7 +273,10 @@
         let head = answer.head.clone();
         let sending = &exchange.sending;
         self.send_head(sending, head.clone());
-        match self.relay(sending, &mut answer, first, exchange.claimed).await {
+        match self
+            .relay(sending, &mut answer, first, exchange.claimed)
+            .await
+        {
             Ok(kept) => {
                 if let Some(body) = kept {
                     let whole = Box::new(Whole { head, body });
--- a/src/process/server.rs
+++ b/src/process/server.rs
@@ -110,6 +110,10 @@
     pub links: SocketAddr,
     /// For operators.
     pub operators: SocketAddr,
+    /// For announcements of the service, where they have a place of their own.
+    pub announcements: Option<SocketAddr>,
+    /// For the question whether callers may be sent here.
+    pub ready: Option<SocketAddr>,
 }
 
 /// How a node stopped.
@@ -392,10 +396,16 @@
             service: service.transpose()?.unwrap_or(callers),
             links,
             operators: self.operators.local_addr()?,
+            announcements: place(self.announcements.as_ref())?,
+            ready: place(self.ready.as_ref())?,
         })
     }
 }
 
+fn place(listener: Option<&TcpListener>) -> Result<Option<SocketAddr>> {
+    Ok(listener.map(TcpListener::local_addr).transpose()?)
+}
+
 async fn bind_if(address: Option<SocketAddr>) -> Result<Option<TcpListener>> {
     Ok(match address {
         Some(address) => Some(TcpListener::bind(address).await?),
--- a/src/request/admission/seen.rs
+++ b/src/request/admission/seen.rs
@@ -70,7 +70,12 @@
 
     /// Forgets what an instance told of a route.
     pub fn forget_peer(&mut self, route: &Route, peer: &Instance) {
-        for peers in self.seen.get_mut(route).into_iter().flat_map(BTreeMap::values_mut) {
+        for peers in self
+            .seen
+            .get_mut(route)
+            .into_iter()
+            .flat_map(BTreeMap::values_mut)
+        {
             self.len -= usize::from(peers.remove(peer).is_some());
         }
     }
--- a/src/request/habit.rs
+++ b/src/request/habit.rs
@@ -123,7 +123,8 @@
                 }
             }
         }
-        self.parts.retain(|(run, out), _| runs.contains(run) && outs.contains(out));
+        self.parts
+            .retain(|(run, out), _| runs.contains(run) && outs.contains(out));
     }
 }
 
--- a/src/request/ingress/arrival.rs
+++ b/src/request/ingress/arrival.rs
@@ -76,7 +76,9 @@
             Origin::Caller { key } => self.root(arrival.call, key.as_deref(), route, world)?,
             Origin::Service { parent } => nested(parent.as_ref(), route, world)?,
         };
-        context.left = arrival.left.map_or(context.left, |left| left.min(context.left));
+        context.left = arrival
+            .left
+            .map_or(context.left, |left| left.min(context.left));
         if context.key.is_none() && context.parent.is_none() {
             world.proxy.called(&route.name);
         }
--- a/src/standin/caller.rs
+++ b/src/standin/caller.rs
@@ -12,8 +12,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    connection::header::Names,
     clock::Span,
+    connection::header::Names,
     connection::{
         body::{
             CHUNK,
--- a/src/standin/keyvalue.rs
+++ b/src/standin/keyvalue.rs
@@ -95,7 +95,10 @@
                 Answer::Quiet
             }
             Call::Put { key, value, lease } => {
-                let expect = self.get(key).map(|entry| entry.revision).unwrap_or_default();
+                let expect = self
+                    .get(key)
+                    .map(|entry| entry.revision)
+                    .unwrap_or_default();
                 self.swap(key, expect, Some(value.clone()), *lease)
             }
             Call::Read { prefix } => Answer::Listing {
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -35,13 +35,13 @@
 
 use super::keyvalue::Map;
 use crate::{
-    id::Revision,
     clock::{
         Clock,
         Span,
         Time, //
     },
     error::Result,
+    id::Revision,
     store::{
         Answer,
         Call, //
--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,20 @@
+//! The users' platform through the adapter: its messages, good and malformed,
+//! and nodes against stand-ins of its store and its servers.
+
+#[macro_use]
+mod support;
+
+#[path = "platform/config.rs"]
+mod config;
+#[path = "platform/heartbeat.rs"]
+mod heartbeat;
+#[path = "platform/kv.rs"]
+mod kv;
+#[path = "platform/names.rs"]
+mod names;
+#[path = "platform/path.rs"]
+mod path;
+#[path = "platform/site.rs"]
+mod site;
+#[path = "platform/store.rs"]
+mod store;
--- a/tests/rights/pool.rs
+++ b/tests/rights/pool.rs
@@ -12,8 +12,7 @@
     },
     id,
     quota::{
-        Bucket,
-        Charge,
+        Bucket, Charge,
         pool::{
             Message,
             Pool, //
@@ -98,7 +97,10 @@
     fn list(&mut self) {
         let count = self.alive.iter().filter(|alive| **alive).count() as u32;
         let names = self.names.iter().zip(&self.alive);
-        let banks: Vec<_> = names.filter(|(_, alive)| **alive).map(|(n, _)| n.clone()).collect();
+        let banks: Vec<_> = names
+            .filter(|(_, alive)| **alive)
+            .map(|(n, _)| n.clone())
+            .collect();
         for (node, alive) in self.nodes.iter_mut().zip(&self.alive) {
             if *alive {
                 node.adopt(self.now, count, true, banks.clone());
@@ -152,7 +154,10 @@
     }
 
     fn call(&mut self, node: usize, call: Waiting) {
-        let others = self.waiting[node].iter().filter(|w| w.team == call.team).count();
+        let others = self.waiting[node]
+            .iter()
+            .filter(|w| w.team == call.team)
+            .count();
         let team = self.teams[call.team].name.clone();
         match self.nodes[node].take(self.now, &team, others as u32) {
             Charge::Taken(_) => self.taken[call.team].push(self.now),
@@ -171,7 +176,11 @@
 
     fn send(&mut self, node: usize) {
         for (to, message) in self.nodes[node].outbox() {
-            let to = self.names.iter().position(|name| *name == to).expect("known");
+            let to = self
+                .names
+                .iter()
+                .position(|name| *name == to)
+                .expect("known");
             self.wires.push_back((self.now + TRANSIT, to, message));
         }
     }
@@ -180,7 +189,9 @@
         while let Some((at, ..)) = self.wires.front()
             && *at <= self.now
         {
-            let Some((_, to, message)) = self.wires.pop_front() else { return };
+            let Some((_, to, message)) = self.wires.pop_front() else {
+                return;
+            };
             if self.alive[to] {
                 if let Some(team) = self.nodes[to].on(self.now, message) {
                     self.again(to, &team);
@@ -249,7 +260,11 @@
     site.run(Span::from_secs(20), demand(share));
     for team in 0..TEAMS.len() {
         let lost = site.ideal(team) - site.served(team);
-        assert!(lost <= most, "team {team}: {lost:.4} of {}", site.asked[team]);
+        assert!(
+            lost <= most,
+            "team {team}: {lost:.4} of {}",
+            site.asked[team]
+        );
     }
     site.check();
 }
@@ -270,7 +285,10 @@
     for (team, (rate, burst)) in TEAMS.iter().enumerate() {
         let most = *rate as f64 * 10.0 + f64::from(*burst);
         let got = site.taken[team].len() as f64;
-        assert!(got >= 0.85 * *rate as f64 * 10.0, "team {team}: {got} of {most}");
+        assert!(
+            got >= 0.85 * *rate as f64 * 10.0,
+            "team {team}: {got} of {most}"
+        );
     }
 }
 
