Drains that are called off, and uploads without a configuration

An instance's word that it leaves held for its whole life, so a server whose drain was called off got nothing again; it counts for a second now, and the members' word after that.

--- a/src/connection/caller.rs
+++ b/src/connection/caller.rs
@@ -351,10 +351,15 @@
 
 impl Carrier {
     /// The largest body of the route that matches.
-    pub(crate) fn body_limit(&self, host: &str, method: &str, path: &str) -> u64 {
+    fn body_limit(&self, host: &str, method: &str, path: &str) -> u64 {
+        self.route_limit(host, method, path).unwrap_or(HELD_LIMIT)
+    }
+
+    /// The same, if there is such a route.
+    pub(crate) fn route_limit(&self, host: &str, method: &str, path: &str) -> Option<u64> {
         let core = self.core();
-        let route = core.snapshot().tables.route(host, method, path);
-        route.map_or(HELD_LIMIT, |route| route.body.as_u64())
+        let route = core.snapshot().tables.route(host, method, path)?;
+        Some(route.body.as_u64())
     }
 
     /// What callers may do: as the configuration says, else the settings.
--- a/src/connection/door.rs
+++ b/src/connection/door.rs
@@ -380,7 +380,11 @@
         return Ok(None);
     }
     let host = caller::host(&request)?;
-    let limit = carrier.body_limit(&host, request.method().as_str(), request.path());
+    // Without a route there is no limit to go by: a node that knows no
+    // configuration yet must not call a body too large. It is refused for its
+    // route as soon as what is held of it is here.
+    let limit = carrier.route_limit(&host, request.method().as_str(), request.path());
+    let limit = limit.unwrap_or(u64::MAX);
     if declared.is_some_and(|length| length > limit) {
         return Err(Code::BodyTooLarge);
     }
@@ -522,10 +526,11 @@
     let chunked = head.length.is_none() && !bodiless;
     let mut output = BytesMut::with_capacity(1024);
     write_head(&mut output, head, chunked, close);
-    while !bodiless {
-        let Some(chunk) = inlet.next().await else {
-            break;
-        };
+    // An answer without a body has nothing to wait for.
+    let body = (!bodiless).then_some(inlet);
+    while let Some(inlet) = body
+        && let Some(chunk) = inlet.next().await
+    {
         push_chunk(&mut output, &chunk?, chunked);
         while output.len() < WRITE
             && let Some(chunk) = inlet.pop()
--- a/src/request/balance.rs
+++ b/src/request/balance.rs
@@ -37,6 +37,9 @@
 
 /// How long a told load counts; it fades over this time.
 const FADE: Span = Span::from_secs(2);
+/// How long an instance's word that it leaves counts: longer than its change of
+/// mind takes to reach all members.
+const LEAVING: Span = Span::from_secs(1);
 /// The weight of the newest outcome in an instance's success.
 const FRESH: f64 = 0.1;
 /// An instance that succeeds less often is left out, after this many outcomes.
@@ -204,9 +207,9 @@
     }
 
     /// Those that may be picked. Rather one that is suspected or looks ill than
-    /// none at all; one that leaves is no choice while its life lasts.
+    /// none at all; one that has just told that it leaves is no choice.
     fn usable<'a>(&self, now: Time, peers: &[&'a Peer], policy: Policy) -> Vec<&'a Peer> {
-        let here = |peer: &&&Peer| peer.ready && !self.leaving(peer);
+        let here = |peer: &&&Peer| peer.ready && !self.leaving(now, peer);
         let alive: Vec<&Peer> = peers
             .iter()
             .filter(here)
@@ -233,10 +236,16 @@
         }
     }
 
-    fn leaving(&self, peer: &Peer) -> bool {
+    /// Whether an instance told of late that it leaves.
+    ///
+    /// Guards against a drain that is called off: the members say that the
+    /// instance takes requests again, and what it told before must not outlive
+    /// that. While it does leave, the members say so within this time.
+    fn leaving(&self, now: Time, peer: &Peer) -> bool {
         let view = self.views.get(&peer.instance);
         view.is_some_and(|view| {
-            peer.incarnation <= view.life && view.told.is_some_and(|told| told.leaving)
+            let told = view.told.filter(|told| now.since(told.at) <= LEAVING);
+            peer.incarnation <= view.life && told.is_some_and(|told| told.leaving)
         })
     }
 
--- a/src/standin/caller.rs
+++ b/src/standin/caller.rs
@@ -111,7 +111,10 @@
         headers: &[(&str, &str)],
         sent: Sent,
     ) -> Result<Answer, End> {
-        let mut all = vec![("host".to_owned(), Bytes::from_static(b"service"))];
+        let mut all = Vec::new();
+        if !headers.iter().any(|(name, _)| *name == "host") {
+            all.push(("host".to_owned(), Bytes::from_static(b"service")));
+        }
         let copy = |(name, value): &(&str, &str)| (name.to_string(), value.to_string().into());
         all.extend(headers.iter().map(copy));
         let head = Head {
--- a/src/version/follow.rs
+++ b/src/version/follow.rs
@@ -121,7 +121,7 @@
             }
             Answer::Changes { changes, at } => {
                 let ours = changes.into_iter().filter(|c| c.key == self.source.key);
-                (ours.filter_map(|change| change.entry).last(), at)
+                (ours.filter_map(|change| change.entry).next_back(), at)
             }
             // The history is gone, or the store is: look afresh. A lost answer
             // may hide a change, so the place to go on from is not kept.
--- a/tests/rights/pool.rs
+++ b/tests/rights/pool.rs
@@ -131,7 +131,7 @@
                 self.call(node, Waiting { team, until });
             }
         }
-        if self.now.as_ms() % TICK == 0 {
+        if self.now.as_ms().is_multiple_of(TICK) {
             let now = self.now;
             self.waiting[node].retain(|waiting| waiting.until > now);
             let mut waiting = BTreeMap::new();
