--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -7,6 +7,10 @@
 mod adoption;
 #[path = "fleet/delta.rs"]
 mod delta;
+#[path = "fleet/directory.rs"]
+mod directory;
+#[path = "fleet/follow.rs"]
+mod follow;
 #[path = "fleet/freshness.rs"]
 mod freshness;
 #[path = "fleet/membership.rs"]
--- /dev/null
+++ b/tests/fleet/directory.rs
@@ -0,0 +1,185 @@
+//! The listing of nodes in the store: who counts as a member, and when.
+
+use bluebellswitch::{
+    clock::{
+        Span,
+        Time, //
+    },
+    directory::{
+        Change,
+        Directory,
+        PREFIX,
+        Purpose, //
+    },
+    id::{
+        Incarnation,
+        Lease,
+        Revision, //
+    },
+    member::{
+        Peer,
+        Status, //
+    },
+    store::{
+        self,
+        Answer,
+        Call,
+        Entry, //
+    },
+};
+
+fn peer(name: &str, life: u64) -> Peer {
+    let address = "127.0.0.1:7000".parse().expect("an address");
+    Peer {
+        instance: name.parse().expect("a name"),
+        domain: "a".parse().expect("a name"),
+        pool: "mill".parse().expect("a name"),
+        link: address,
+        datagram: address,
+        incarnation: Incarnation(life),
+        status: Status::Alive,
+        ready: true,
+    }
+}
+
+fn entry(peer: &Peer) -> Entry {
+    Entry {
+        key: format!("{PREFIX}{}", peer.instance),
+        value: serde_json::to_string(peer).expect("text"),
+        revision: Revision(1),
+    }
+}
+
+fn listing(peers: &[Peer]) -> Answer {
+    Answer::Listing {
+        entries: peers.iter().map(entry).collect(),
+        at: Revision(9),
+    }
+}
+
+fn gone(name: &str) -> Answer {
+    let change = store::Change {
+        key: format!("{PREFIX}{name}"),
+        entry: None,
+    };
+    Answer::Changes {
+        changes: vec![change],
+        at: Revision(10),
+    }
+}
+
+struct Story {
+    now: Time,
+    directory: Directory,
+}
+
+impl Story {
+    fn new() -> Self {
+        Self {
+            now: Time::from_ms(1000),
+            directory: Directory::new(peer("me", 5)),
+        }
+    }
+
+    /// The calls that are due, and members whose time is over.
+    fn tick(&mut self) -> (Vec<(Purpose, Call)>, Vec<Change>) {
+        let mut calls = Vec::new();
+        let gone = self.directory.tick(self.now, &mut calls);
+        (calls, gone)
+    }
+
+    fn answer(&mut self, purpose: Purpose, answer: Answer) -> Vec<Change> {
+        self.directory.answer(self.now, purpose, answer)
+    }
+
+    /// Gets a lease and enters the record.
+    fn register(&mut self) {
+        let lease = Lease(7);
+        let ttl = Span::from_secs(6);
+        self.tick();
+        self.answer(Purpose::Register, Answer::Leased { lease, ttl });
+        self.tick();
+        self.answer(Purpose::Register, Answer::Swapped(Revision(3)));
+    }
+}
+
+/// Who mints rates must be among those that everybody counts, and the record
+/// lives for six seconds. Four seconds after the last renewal was sent the node
+/// no longer counts itself, so it never outlives its record.
+#[test]
+fn a_member_is_one_for_as_long_as_its_record_certainly_lives() {
+    let mut story = Story::new();
+    assert_eq!(story.directory.member_for(story.now), None);
+    story.register();
+    story.now += Span::from_secs(4);
+    assert_eq!(
+        story.directory.member_for(story.now),
+        Some(Span::from_secs(4))
+    );
+    story.now += Span::from_ms(1);
+    assert_eq!(story.directory.member_for(story.now), None);
+}
+
+/// The store was away and all leases lapsed. A record that vanishes is no death:
+/// the member stays, and one that enters itself again was never gone.
+#[test]
+fn a_lapsed_record_is_no_death_for_a_while() {
+    let mut story = Story::new();
+    story.tick();
+    let other = peer("other", 2);
+    assert_eq!(
+        story.answer(Purpose::Watch, listing(std::slice::from_ref(&other))),
+        [Change::Present(other.clone())]
+    );
+    story.tick();
+    assert!(story.answer(Purpose::Watch, gone("other")).is_empty());
+    story.now += Span::from_secs(2);
+    let (_, buried) = story.tick();
+    assert!(buried.is_empty());
+    story.answer(Purpose::Watch, listing(std::slice::from_ref(&other)));
+    story.now += Span::from_secs(10);
+    assert!(story.tick().1.is_empty());
+    story.answer(Purpose::Watch, gone("other"));
+    story.now += Span::from_secs(4);
+    assert_eq!(story.tick().1, [Change::Gone(other.instance)]);
+}
+
+/// A write of a former life was lost, and takes effect seconds later, over the
+/// record of this one. The others keep to the later life, and it writes its
+/// record again.
+#[test]
+fn a_late_write_of_a_former_life_is_mended() {
+    let mut story = Story::new();
+    story.register();
+    story.tick();
+    story.answer(Purpose::Watch, listing(&[peer("me", 5)]));
+    let late = peer("me", 4);
+    story.tick();
+    assert!(story.answer(Purpose::Watch, listing(&[late])).is_empty());
+    let (calls, _) = story.tick();
+    let writes = calls
+        .iter()
+        .any(|(purpose, call)| *purpose == Purpose::Register && matches!(call, Call::Put { .. }));
+    assert!(writes, "{calls:?}");
+}
+
+#[test]
+fn a_lease_that_ended_is_made_anew() {
+    let mut story = Story::new();
+    story.register();
+    story.now += Span::from_secs(2);
+    let (calls, _) = story.tick();
+    assert!(
+        calls
+            .iter()
+            .any(|(_, call)| matches!(call, Call::Renew { .. }))
+    );
+    story.answer(Purpose::Register, Answer::Expired);
+    assert_eq!(story.directory.member_for(story.now), None);
+    let (calls, _) = story.tick();
+    assert!(
+        calls
+            .iter()
+            .any(|(_, call)| matches!(call, Call::Grant { .. }))
+    );
+}
--- /dev/null
+++ b/tests/fleet/follow.rs
@@ -0,0 +1,151 @@
+//! Following the configuration in the store: newest only, never back, and how
+//! sure that is.
+
+use bluebellswitch::{
+    clock::{
+        Span,
+        Time, //
+    },
+    document::Snapshot,
+    follow::{
+        Follower,
+        News, //
+    },
+    id::{
+        Revision,
+        Version, //
+    },
+    interface::Source,
+    store::{
+        Answer,
+        Call,
+        Change,
+        Entry, //
+    },
+};
+
+const KEY: &str = "conf";
+
+/// A configuration is here just the number of its version.
+fn read(text: &str) -> bluebellswitch::Result<Snapshot> {
+    Ok(Snapshot {
+        version: text.parse::<Version>()?,
+        ..Snapshot::default()
+    })
+}
+
+fn entry(text: &str, revision: u64) -> Entry {
+    Entry {
+        key: KEY.to_owned(),
+        value: text.to_owned(),
+        revision: Revision(revision),
+    }
+}
+
+fn listing(text: &str, revision: u64) -> Answer {
+    Answer::Listing {
+        entries: vec![entry(text, revision)],
+        at: Revision(revision),
+    }
+}
+
+fn change(text: &str, revision: u64) -> Answer {
+    Answer::Changes {
+        changes: vec![Change {
+            key: KEY.to_owned(),
+            entry: Some(entry(text, revision)),
+        }],
+        at: Revision(revision),
+    }
+}
+
+fn quiet(at: u64) -> Answer {
+    Answer::Changes {
+        changes: vec![],
+        at: Revision(at),
+    }
+}
+
+struct Story {
+    now: Time,
+    follower: Follower,
+}
+
+impl Story {
+    fn new() -> Self {
+        Self {
+            now: Time::from_ms(1000),
+            follower: Follower::new(Source { key: KEY, read }),
+        }
+    }
+
+    /// Asks, waits, and takes an answer.
+    fn ask(&mut self, wait: u64, answer: Answer) -> News {
+        let due = self.follower.due().max(self.now);
+        self.now = due;
+        self.follower.tick(self.now).expect("a question");
+        self.now += Span::from_ms(wait);
+        self.follower.answer(self.now, answer)
+    }
+
+    fn age(&self) -> Option<u64> {
+        self.follower.age(self.now).map(Span::as_ms)
+    }
+}
+
+#[test]
+fn a_newer_version_is_news_and_an_older_one_is_not() {
+    let mut story = Story::new();
+    assert!(matches!(story.ask(5, listing("4", 10)), News::Newer(s) if s.version == Version(4)));
+    assert!(matches!(story.ask(5, change("9", 11)), News::Newer(s) if s.version == Version(9)));
+    assert!(matches!(story.ask(5, change("7", 12)), News::Unusable(_)));
+    assert!(matches!(
+        story.ask(5, change("no number", 13)),
+        News::Unusable(_)
+    ));
+    assert!(matches!(story.ask(5, change("9", 14)), News::Nothing));
+}
+
+/// The answer that confirms a version may have been long under way. What it says
+/// held when the question was sent at the latest, so the age counts from there:
+/// else a withdrawn key would be accepted for longer than the bound.
+#[test]
+fn the_age_counts_from_the_question() {
+    let mut story = Story::new();
+    assert_eq!(story.age(), None);
+    story.ask(300, listing("4", 10));
+    assert_eq!(story.age(), Some(300));
+    story.ask(1500, quiet(10));
+    assert_eq!(story.age(), Some(1500));
+}
+
+/// The store is away. The age grows, whatever is asked; an old version that is
+/// offered confirms nothing.
+#[test]
+fn nothing_but_the_newest_confirms() {
+    let mut story = Story::new();
+    story.ask(0, listing("4", 10));
+    for _ in 0..10 {
+        story.ask(1000, Answer::Lost);
+    }
+    assert!(story.age().expect("known") >= 10_000);
+    let before = story.age().expect("known");
+    story.ask(10, listing("3", 20));
+    assert!(story.age().expect("known") >= before);
+    story.ask(10, change("5", 21));
+    assert_eq!(story.age(), Some(10));
+}
+
+/// The store forgets its history, or an answer is lost: what changed meanwhile
+/// is found by looking afresh.
+#[test]
+fn after_a_gap_it_looks_afresh() {
+    for gap in [Answer::Forgotten, Answer::Lost] {
+        let mut story = Story::new();
+        story.ask(0, listing("4", 10));
+        story.ask(5, gap);
+        story.now = story.follower.due().max(story.now);
+        let call = story.follower.tick(story.now);
+        assert!(matches!(call, Some(Call::Read { .. })), "{call:?}");
+    }
+}
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -7,6 +7,8 @@
 mod allowance;
 #[path = "policy/balance.rs"]
 mod balance;
+#[path = "policy/habit.rs"]
+mod habit;
 #[path = "policy/inbound.rs"]
 mod inbound;
 #[path = "policy/limit.rs"]
