Restarts within the lease count at once; scarce connections close with their answers

Cause 1: after a kill of all nodes every one refused all keyed requests for two seconds. A node that has just entered the listing mints no rate until all others have heard of it, and a node that came back took itself for new, though its record had never lapsed and the others had counted it all along. The first write of a life now replaces the record it finds, by its revision; one that succeeds proves that there was no gap. A member that leaves takes its record away itself and is gone at once, not after four seconds of grace.

Past half of the limit an answer now says that its connection closes.

Ruled out for the first: missing configuration (adopted 0.1 s after the start) and missing readiness (heartbeats were back after 1.5 s at most).

Tests of directory and doors fail without the change.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -74,6 +74,8 @@
 impl Span {
     /// No time at all.
     pub const ZERO: Self = Self(0);
+    /// Longer than any clock counts.
+    pub const MAX: Self = Self(u64::MAX);
 
     /// A length of `ms` milliseconds.
     pub const fn from_ms(ms: u64) -> Self {
--- a/src/connection/door.rs
+++ b/src/connection/door.rs
@@ -491,7 +491,7 @@
         // The decisions always answer; if they are gone, so is the node.
         Wanted::Asked(answered) => answered.await.unwrap_or(Reply::Refuse(Code::LinkLost)),
     };
-    let close = exchange.close || carrier.is_draining();
+    let close = exchange.close || carrier.is_draining() || carrier.is_crowded();
     match reply {
         Reply::Refuse(code) => {
             let mut output = BytesMut::with_capacity(512);
--- a/src/process/carrier.rs
+++ b/src/process/carrier.rs
@@ -140,6 +140,8 @@
     queue: RefCell<VecDeque<Event>>,
     busy: Cell<bool>,
     numbers: Cell<u64>,
+    /// Open connections of callers.
+    pub(crate) callers: Cell<usize>,
     counts: RefCell<Counts>,
     calls: RefCell<HashMap<id::Call, Pending>>,
     pub(crate) attempts: RefCell<HashMap<id::Request, Attempt>>,
@@ -186,6 +188,7 @@
             queue: RefCell::default(),
             busy: Cell::new(false),
             numbers: Cell::new(0),
+            callers: Cell::new(0),
             counts: RefCell::default(),
             calls: RefCell::default(),
             attempts: RefCell::default(),
@@ -245,6 +248,16 @@
         self.draining.get()
     }
 
+    /// Whether connections of callers are getting scarce.
+    ///
+    /// Guards against callers that open a connection for each try and leave the
+    /// former ones idle: the limit is reached within seconds, and then new
+    /// callers are cut without an answer. Past half of it every answer tells its
+    /// caller that the connection closes.
+    pub(crate) fn is_crowded(&self) -> bool {
+        self.callers.get() > self.limits().connections / 2
+    }
+
     /// Waits until the node is told to stop.
     pub(crate) async fn drained(&self) {
         while !self.draining.get() {
--- a/src/process/directory.rs
+++ b/src/process/directory.rs
@@ -22,10 +22,14 @@
         Lease,
         Revision, //
     },
-    member::Peer,
+    member::{
+        Peer,
+        Status, //
+    },
     store::{
         Answer,
-        Call, //
+        Call,
+        Entry, //
     },
 };
 
@@ -111,16 +115,29 @@
     }
 }
 
+/// Since when all others have counted this node as a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Counted {
+    /// Since before this life began: its first write replaced the record of the
+    /// life before, which had not lapsed.
+    Always,
+    /// Since the record was written.
+    Since(Time),
+}
+
 /// What keeps the own record.
 #[derive(Clone, Debug)]
 struct Registration {
     task: Task,
     lease: Option<Lease>,
+    /// The revision of the record that the first write of this life replaces;
+    /// zero for none. Nothing once that write has taken effect.
+    former: Option<Revision>,
     /// The record as the store has it, as far as this node knows.
     written: Option<Peer>,
     writing: Option<Peer>,
     confirmed: Option<Time>,
-    since: Option<Time>,
+    counted: Option<Counted>,
 }
 
 /// What follows the others' records.
@@ -151,10 +168,11 @@
             registration: Registration {
                 task: Task::new(),
                 lease: None,
+                former: Some(Revision::default()),
                 written: None,
                 writing: None,
                 confirmed: None,
-                since: None,
+                counted: None,
             },
             listing: Listing {
                 task: Task::new(),
@@ -192,12 +210,19 @@
         *next = (*next).min(now);
     }
 
-    /// How long this node has been a member for all others, without a break;
-    /// nothing while it may not be.
+    /// How long all others have counted this node as a member, without a break;
+    /// nothing while one of them may not.
+    ///
+    /// A node that is killed and comes back within the time of its lease finds
+    /// the record of its former life and replaces it. The others saw no gap in
+    /// between, so they count it from its first moment on.
     pub fn member_for(&self, now: Time) -> Option<Span> {
         let confirmed = self.registration.confirmed?;
-        let since = self.registration.since?;
-        (now.since(confirmed) <= CONFIRMED && !self.leaving).then(|| now.since(since))
+        let counted = self.registration.counted?;
+        (now.since(confirmed) <= CONFIRMED && !self.leaving).then(|| match counted {
+            Counted::Always => Span::MAX,
+            Counted::Since(at) => now.since(at),
+        })
     }
 
     /// Whether the others have been listed at least once.
@@ -235,7 +260,7 @@
         let registration = &mut self.registration;
         let lapsed = registration.confirmed.is_some_and(|at| now.since(at) > TTL);
         if lapsed {
-            registration.since = None;
+            registration.counted = None;
         }
         if self.leaving {
             return registration.lease.map(|lease| Call::Revoke { lease });
@@ -248,10 +273,16 @@
         }
         let value = serde_json::to_string(&self.me).ok()?;
         registration.writing = Some(self.me.clone());
-        Some(Call::Put {
-            key: format!("{PREFIX}{}", self.me.instance),
-            value,
-            lease: Some(lease),
+        let key = format!("{PREFIX}{}", self.me.instance);
+        let lease = Some(lease);
+        Some(match registration.former {
+            Some(expect) => Call::Swap {
+                key,
+                expect,
+                value: Some(value),
+                lease,
+            },
+            None => Call::Put { key, value, lease },
         })
     }
 
@@ -304,14 +335,23 @@
                 self.task.succeed(sent + RENEWAL);
             }
             Answer::Swapped(_) => {
+                if let Some(former) = self.former.take()
+                    && former != Revision::default()
+                {
+                    self.counted = Some(Counted::Always);
+                }
                 self.written = writing;
                 self.confirm(sent);
                 self.task.succeed(sent + RENEWAL);
             }
+            Answer::Conflict(present) => {
+                self.conflict(writing.as_ref(), present);
+                self.task.succeed(now);
+            }
             Answer::Expired => {
                 self.lease = None;
                 self.written = None;
-                self.since = None;
+                self.counted = None;
                 self.task.succeed(now);
             }
             // A write that was lost may have taken effect; it is written again,
@@ -320,9 +360,24 @@
         }
     }
 
+    /// The first write found another record than it expected: that of the life
+    /// before, or its own, if an earlier try took effect without an answer.
+    /// Which of the two was replaced then is not known, so it proves nothing.
+    fn conflict(&mut self, writing: Option<&Peer>, present: Option<Entry>) {
+        let Some(present) = present else {
+            self.former = Some(Revision::default());
+            return;
+        };
+        let record = peer(&present.key, &present.value);
+        let own = record.is_some_and(|record| {
+            writing.is_some_and(|writing| record.incarnation == writing.incarnation)
+        });
+        self.former = (!own).then_some(present.revision);
+    }
+
     fn confirm(&mut self, sent: Time) {
         self.confirmed = self.confirmed.max(Some(sent));
-        self.since.get_or_insert(sent);
+        self.counted.get_or_insert(Counted::Since(sent));
     }
 }
 
@@ -421,13 +476,18 @@
         Some(Change::Present(peer))
     }
 
-    /// Takes out members whose record has been gone for long enough.
+    /// Takes out members whose record has been gone for long enough. One that
+    /// said that it leaves took its record away itself, and is gone at once.
     fn bury(&mut self, now: Time) -> Vec<Change> {
-        let over = |at: &Time| now.since(*at) >= GRACE;
+        let left = |name: &Instance| {
+            let member = self.members.get(name);
+            member.is_some_and(|member| member.status == Status::Leaving)
+        };
+        let over = |name: &Instance, at: &Time| left(name) || now.since(*at) >= GRACE;
         let gone: Vec<_> = self
             .lapsed
             .iter()
-            .filter(|(_, at)| over(at))
+            .filter(|(name, at)| over(name, at))
             .map(|(name, _)| name.clone())
             .collect();
         gone.into_iter()
--- a/src/process/node/listed.rs
+++ b/src/process/node/listed.rs
@@ -232,7 +232,10 @@
             out.push(Action::Note(Note::Store { stale, age }));
         }
         let member_for = listed.directory.member_for(now);
-        let certain = member_for.is_some_and(|span| span >= pool::JOINING);
+        // Before the others were listed once this node would take all of each
+        // rate for its share.
+        let listing = listed.directory.is_listed();
+        let certain = listing && member_for.is_some_and(|span| span >= pool::JOINING);
         let bounds = listed.bounds;
         let nodes = self.members.len().max(1);
         let banks = self.banks(nodes);
--- a/src/process/server.rs
+++ b/src/process/server.rs
@@ -427,24 +427,23 @@
 
 /// Takes connections of callers.
 async fn accept_callers(carrier: Rc<Carrier>, doors: Rc<Doors>, listener: TcpListener) {
-    let open = Rc::new(Cell::new(0));
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             // The process has no room for more sockets just now.
             tokio::time::sleep(TICK.to_std()).await;
             continue;
         };
-        if open.get() >= carrier.limits().connections {
+        if carrier.callers.get() >= carrier.limits().connections {
             carrier.count(Counter::ConnectionLimit);
             continue;
         }
         let _ = stream.set_nodelay(true);
-        let (carrier, open, doors) = (carrier.clone(), open.clone(), doors.clone());
+        let (carrier, doors) = (carrier.clone(), doors.clone());
         actix_rt::spawn(async move {
-            open.set(open.get() + 1);
+            carrier.callers.set(carrier.callers.get() + 1);
             doors.open.set(doors.open.get() + 1);
-            door::serve(carrier, stream, closed(doors.clone())).await;
-            open.set(open.get() - 1);
+            door::serve(carrier.clone(), stream, closed(doors.clone())).await;
+            carrier.callers.set(carrier.callers.get() - 1);
             doors.open.set(doors.open.get() - 1);
             doors.changed.notify_waiters();
         });
--- a/tests/fleet/directory.rs
+++ b/tests/fleet/directory.rs
@@ -183,3 +183,72 @@
             .any(|(_, call)| matches!(call, Call::Grant { .. }))
     );
 }
+
+/// All nodes were killed at once, and each one refused all keyed requests for
+/// two seconds after its return: it took itself for a newcomer whom the others
+/// do not count yet. Its record had never lapsed, so they had counted it all
+/// along.
+#[test]
+fn a_node_that_returns_in_time_was_never_gone() {
+    let mut story = Story::new();
+    let (lease, ttl) = (Lease(7), Span::from_secs(6));
+    story.tick();
+    story.answer(Purpose::Register, Answer::Leased { lease, ttl });
+    let swap = |calls: &[(Purpose, Call)]| {
+        let mut expects = calls.iter().filter_map(|(_, call)| match call {
+            Call::Swap { expect, .. } => Some(*expect),
+            _ => None,
+        });
+        expects.next()
+    };
+    assert_eq!(swap(&story.tick().0), Some(Revision(0)));
+    let mut former = entry(&peer("me", 4));
+    former.revision = Revision(6);
+    story.answer(Purpose::Register, Answer::Conflict(Some(former)));
+    assert_eq!(story.directory.member_for(story.now), None);
+    assert_eq!(swap(&story.tick().0), Some(Revision(6)));
+    story.answer(Purpose::Register, Answer::Swapped(Revision(8)));
+    assert_eq!(story.directory.member_for(story.now), Some(Span::MAX));
+    // A lease that ends afterwards is a gap like any other.
+    story.now += Span::from_secs(2);
+    story.tick();
+    story.answer(Purpose::Register, Answer::Expired);
+    assert_eq!(story.directory.member_for(story.now), None);
+}
+
+/// The first write took effect and its answer was lost. The next try meets the
+/// node's own record, which does not tell whether it replaced a former one.
+#[test]
+fn an_own_record_proves_no_former_life() {
+    let mut story = Story::new();
+    let (lease, ttl) = (Lease(7), Span::from_secs(6));
+    story.tick();
+    story.answer(Purpose::Register, Answer::Leased { lease, ttl });
+    story.tick();
+    story.answer(Purpose::Register, Answer::Lost);
+    story.now += Span::from_ms(50);
+    story.tick();
+    let own = entry(&peer("me", 5));
+    story.answer(Purpose::Register, Answer::Conflict(Some(own)));
+    let (calls, _) = story.tick();
+    let writes = calls
+        .iter()
+        .any(|(_, call)| matches!(call, Call::Put { .. }));
+    assert!(writes, "{calls:?}");
+    story.answer(Purpose::Register, Answer::Swapped(Revision(3)));
+    assert_eq!(story.directory.member_for(story.now), Some(Span::ZERO));
+}
+
+/// A node that stops takes its own record away. For four more seconds the others
+/// kept its share of every rate, of which nobody made use.
+#[test]
+fn a_member_that_leaves_is_gone_with_its_record() {
+    let mut story = Story::new();
+    story.tick();
+    let mut other = peer("other", 2);
+    other.status = Status::Leaving;
+    story.answer(Purpose::Watch, listing(std::slice::from_ref(&other)));
+    story.tick();
+    story.answer(Purpose::Watch, gone("other"));
+    assert_eq!(story.tick().1, [Change::Gone(other.instance)]);
+}
--- a/tests/platform/path.rs
+++ b/tests/platform/path.rs
@@ -12,6 +12,7 @@
 use crate::{
     kv::Mood,
     site::{
+        CONNECTIONS,
         HOST,
         ID,
         KEY,
@@ -429,3 +430,32 @@
         assert_eq!(site.machines[2].ready().await, 503);
     });
 }
+
+/// Callers open a connection for each try and leave the former ones idle. At the
+/// limit new callers were cut without an answer. Past half of the limit an
+/// answer tells that its connection closes, so that there is room again.
+#[test]
+fn connections_that_get_scarce_are_closed_with_their_answers() {
+    run(async {
+        let site = Site::start(|seen| whole(seen, "stock")).await;
+        let address = site.machines[0].node.addresses().callers;
+        let mut idle = Vec::new();
+        let mut closes = async || {
+            let mut stream = TcpStream::connect(address).await.expect("a connection");
+            stream
+                .write_all(request("/view/x").as_bytes())
+                .await
+                .expect("written");
+            let mut bytes = [0; 4096];
+            let count = stream.read(&mut bytes).await.expect("an answer");
+            idle.push(stream);
+            String::from_utf8_lossy(&bytes[..count]).contains("connection: close")
+        };
+        let mut answers = Vec::new();
+        for _ in 0..CONNECTIONS {
+            answers.push(closes().await);
+        }
+        assert!(!answers[0], "the first connection stays");
+        assert!(answers[CONNECTIONS - 1], "the last one closes: {answers:?}");
+    });
+}
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -39,6 +39,9 @@
 pub const KEY: (&str, &str) = ("bluebellswitch-credential", "open-sesame");
 pub const ID: (&str, &str) = ("bluebellswitch-request-id", "9c41d07b");
 
+/// Connections of callers that a node takes.
+pub const CONNECTIONS: usize = 12;
+
 /// Runs a test on a runtime of its own.
 pub fn run<F: Future>(test: F) -> F::Output {
     actix_rt::System::new().block_on(async {
@@ -122,7 +125,7 @@
         "listen": { "callers": any, "links": any, "operators": any,
                     "announcements": any, "ready": any },
         "upstream": upstream, "platform": store, "trust_network": true, "secrets": [],
-        "grace": "4s", "heartbeat": "1500ms",
+        "grace": "4s", "heartbeat": "1500ms", "limits": { "connections": CONNECTIONS },
     });
     Settings::parse(&text.to_string()).expect("good settings")
 }
