Nested calls carry the importance and the rank of the request that made them

Cause: calls between services name no request, so every one stood before all others and none was ever shed.

Two things tell the maker: a call ends with its request, to some milliseconds, and where its route bounds it more tightly the next call of a request comes over the connection on which the former was answered (seen in the traffic: deadlines of three of four hops match one to one, those of the last are drawn anew). The regression over what runs together goes; it only told shares. Nested work is queued and shed by importance, then by the rank of its root, so that the calls of one request succeed or fail together.

Besides: a call that an upstream rejects may ask the same upstreams again within the pool's budget, important ones first; a full queue is not asked twice more when there is no other instance.

--- a/src/connection/caller.rs
+++ b/src/connection/caller.rs
@@ -193,6 +193,7 @@
         claim,
         replayable: held.is_some(),
         left: None,
+        connection: id::Connection::default(),
     };
     let guard = carrier.begin(call, Pending::new(reply, head, source));
     carrier.on(Event::Call(event));
--- a/src/connection/door.rs
+++ b/src/connection/door.rs
@@ -68,6 +68,7 @@
     },
     code::Code,
     frame::Head,
+    id,
     node::{
         Call,
         Event,
@@ -123,6 +124,8 @@
     finishing: Cell<bool>,
     /// When the last answer was written.
     settled: Cell<Time>,
+    /// The connection's number.
+    number: id::Connection,
 }
 
 impl Shared {
@@ -156,6 +159,7 @@
     closing: impl Future<Output = ()>,
 ) {
     let shared = Shared {
+        number: id::Connection(carrier.next_number()),
         carrier,
         queue: RefCell::default(),
         grown: Notify::new(),
@@ -437,6 +441,7 @@
         claim: None,
         replayable: held.is_some(),
         left: header::left(request.headers(), names),
+        connection: shared.number,
     };
     let is_head = head.method == "HEAD";
     let (reply, answered) = oneshot::channel();
--- a/src/id.rs
+++ b/src/id.rs
@@ -125,6 +125,8 @@
     Change(u64), "{:016x}";
     /// A call as its ingress node counts it, until it is answered.
     Call(u64), "{}";
+    /// A connection of a caller, as its node counts it.
+    Connection(u64), "{}";
     /// A lease of the platform's service.
     Lease(u64), "{}";
     /// A revision of a value in the platform's service; zero means absent.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -65,7 +65,6 @@
         allowance,
         balance,
         context,
-        habit,
         inbound,
         ingress,
         limit,
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -120,6 +120,8 @@
     pub replayable: bool,
     /// How long its caller waits, where it said so.
     pub left: Option<Span>,
+    /// The connection that it came over.
+    pub connection: id::Connection,
 }
 
 /// What happens to a node.
@@ -431,6 +433,7 @@
             claim: call.claim,
             replayable: call.replayable,
             left: call.left,
+            connection: call.connection,
             stale: self.is_stale(now),
             leaving: self.is_closing(now),
         };
--- a/src/process/server.rs
+++ b/src/process/server.rs
@@ -91,6 +91,12 @@
 /// nearly all instances would give.
 const REROUTES: u8 = 2;
 
+/// How often a call is sent again to an upstream that said that it has not run
+/// it, once it may go to no further one. An upstream that sheds every other
+/// request lets so all but one in thirty through in the end; the pool's budget
+/// bounds what this costs.
+const REJECTIONS: u8 = 4;
+
 /// How long a call waits for a rate token where rates have no owner. Tokens come
 /// evenly, so a team inside its rate gets one sooner, and one that is over it
 /// should hear so while its callers can still come back.
@@ -188,7 +194,8 @@
             core.list(source, bounds);
             core.set_policy(Policy {
                 reroutes: REROUTES,
-                habits: true,
+                rejections: REJECTIONS,
+                attribution: true,
                 token_wait: TOKEN_WAIT,
                 ..Policy::default()
             });
--- a/src/request/admission.rs
+++ b/src/request/admission.rs
@@ -36,14 +36,15 @@
 impl Rank {
     /// The rank of a request that carries this context.
     pub fn of(context: &Context, nested_first: bool) -> Self {
-        // A call of which nothing tells its root: whatever is decided on the
-        // root was decided where that began, and is not decided again here.
-        if context.team_of_key().is_none() && context.parent.is_none() && context.depth > 0 {
-            return Self(u16::MAX);
-        }
         let nested = nested_first && context.depth > 0;
         let bonus = if nested { NESTED } else { 0 };
-        Self::new(context.importance, place(context.root), bonus)
+        Self::new(context.importance, Self::within(context.root), bonus)
+    }
+
+    /// The place of a root among those of its importance; the lowest is shed
+    /// first.
+    pub fn within(root: id::Root) -> u16 {
+        (xxh3_64(&root.0.to_le_bytes()) % u64::from(BAND)) as u16
     }
 
     /// A rank by chance, for comparison with [`Rank::of`].
@@ -61,7 +62,3 @@
         Self(importance as u16 * BAND + within)
     }
 }
-
-fn place(root: id::Root) -> u16 {
-    (xxh3_64(&root.0.to_le_bytes()) % u64::from(BAND)) as u16
-}
--- a/src/request/admission/queue.rs
+++ b/src/request/admission/queue.rs
@@ -2,7 +2,10 @@
 //!
 //! The queue is short. It is served by importance, nested work before new
 //! roots, then the team that has had least for its weight, then the oldest
-//! root. The least important band is served newest first under overload: its
+//! root. Where roots are only believed to be known, their nested work goes by
+//! the rank of its root, so that all calls of one root find their place alike:
+//! of four calls one after the other the last is of no use when the third one
+//! was shed. The least important band is served newest first under overload: its
 //! oldest would be refused soon anyway. When there is no room, the last to be
 //! served among the least important makes room, from the team that waits with
 //! most.
@@ -13,7 +16,6 @@
 };
 
 use crate::{
-    clock::Time,
     context::Importance,
     id::{
         Request,
@@ -34,8 +36,10 @@
     pub team: Team,
     /// The team's weight.
     pub weight: u32,
-    /// When its root arrived, as far as this node can tell.
-    pub root: Time,
+    /// Its turn within its team; the lowest is served first.
+    pub turn: u64,
+    /// Whether that turn goes by the rank of its root and not by its age.
+    pub ranked: bool,
 }
 
 /// A lane's place; the least is served first.
@@ -46,7 +50,7 @@
 
 #[derive(Clone, Debug, Default)]
 struct Lane {
-    teams: BTreeMap<Share, BTreeMap<(Time, Request), Item>>,
+    teams: BTreeMap<Share, BTreeMap<(u64, Request), Item>>,
 }
 
 /// How a queue is ordered.
@@ -66,7 +70,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
     lanes: BTreeMap<Place, Lane>,
-    places: BTreeMap<Request, (Place, Share, Time)>,
+    places: BTreeMap<Request, (Place, Share, u64)>,
     shares: Shares,
 }
 
@@ -96,27 +100,29 @@
     /// Requests that would be served before this one.
     pub fn ahead(&self, item: &Item, order: Order) -> usize {
         let place = order.place(item);
-        let before = self.lanes.range(..=place);
-        before.map(|(_, lane)| lane.len()).sum()
+        let before = self.lanes.range(..place);
+        let before: usize = before.map(|(_, lane)| lane.len()).sum();
+        let beside = self.lanes.get(&place);
+        before + beside.map_or(0, |lane| lane.ahead(item))
     }
 
     /// Adds one.
     pub fn push(&mut self, item: Item, order: Order) {
         let place = order.place(&item);
         let share = order.share(&item);
-        let spot = (place, share.clone(), item.root);
+        let spot = (place, share.clone(), item.turn);
         self.places.insert(item.request, spot);
         let lane = self.lanes.entry(place).or_default();
         let waiting = lane.teams.entry(share).or_default();
-        waiting.insert((item.root, item.request), item);
+        waiting.insert((item.turn, item.request), item);
     }
 
     /// Takes one out, wherever it stands.
     pub fn remove(&mut self, request: Request) -> Option<Item> {
-        let (place, team, root) = self.places.remove(&request)?;
+        let (place, team, turn) = self.places.remove(&request)?;
         let lane = self.lanes.get_mut(&place)?;
         let waiting = lane.teams.get_mut(&team)?;
-        let item = waiting.remove(&(root, request));
+        let item = waiting.remove(&(turn, request));
         if waiting.is_empty() {
             lane.teams.remove(&team);
         }
@@ -136,11 +142,12 @@
             .teams
             .iter()
             .min_by(|(a, _), (b, _)| served(a).total_cmp(&served(b)))?;
-        let next = match newest {
-            true => waiting.last_key_value(),
-            false => waiting.first_key_value(),
+        let (first, last) = (waiting.first_key_value()?, waiting.last_key_value()?);
+        let ((_, request), _) = match newest && !last.1.ranked {
+            true => last,
+            false => first,
         };
-        let request = next.map(|((_, request), _)| *request)?;
+        let request = *request;
         self.remove(request)
     }
 
@@ -172,6 +179,17 @@
 }
 
 impl Lane {
+    /// Requests of the lane that are served before this one: those with a lower
+    /// rank are not, all others may be.
+    fn ahead(&self, item: &Item) -> usize {
+        if !item.ranked {
+            return self.len();
+        }
+        let teams = self.teams.values();
+        let before = teams.map(|waiting| waiting.range(..=(item.turn, item.request)).count());
+        before.sum()
+    }
+
     fn len(&self) -> usize {
         self.teams.values().map(BTreeMap::len).sum()
     }
--- a/src/request/admission/seen.rs
+++ b/src/request/admission/seen.rs
@@ -109,11 +109,11 @@
         habits.retain(|_, share| *share > HABIT / 2.0);
     }
 
-    /// Sets how many calls a request of a route makes on another.
-    pub fn calls(&mut self, route: &Route, called: &Route, share: f64) {
-        let habits = self.calls.entry(route.clone()).or_default();
-        habits.insert(called.clone(), share);
-        habits.retain(|_, share| *share > HABIT / 2.0);
+    /// The share of a route's requests that call another one.
+    pub fn share(&self, route: &Route, called: &Route) -> f64 {
+        let habits = self.calls.get(route);
+        let share = habits.and_then(|habits| habits.get(called));
+        share.copied().unwrap_or(0.0)
     }
 
     /// The highest level among the routes that this one calls.
--- a/src/request/balance.rs
+++ b/src/request/balance.rs
@@ -155,6 +155,29 @@
             })
     }
 
+    /// Picks one of these instances, and its present life.
+    pub fn among(
+        &mut self,
+        now: Time,
+        members: &Table,
+        names: &[Instance],
+        policy: Policy,
+        rng: &mut ChaCha8Rng,
+    ) -> Option<(Instance, Incarnation)> {
+        let peers: Vec<&Peer> = names.iter().filter_map(|name| members.get(name)).collect();
+        let usable = self.usable(now, &peers, policy);
+        let chosen = self.better(now, &usable, policy, rng)?;
+        Some((chosen.instance.clone(), self.life(chosen)))
+    }
+
+    /// Whether there is an instance that has not been tried.
+    pub fn untried(&self, members: &Table, pool: &Pool, tried: &[Instance]) -> bool {
+        let mut there = members
+            .serving(pool)
+            .filter(|peer| peer.status == Status::Alive);
+        there.any(|peer| !tried.contains(&peer.instance))
+    }
+
     /// An attempt was sent.
     pub fn sent(&mut self, peer: &Instance) {
         self.view(peer).outstanding += 1;
--- a/src/request/inbound.rs
+++ b/src/request/inbound.rs
@@ -5,6 +5,7 @@
 //! health or load endpoint of the upstream has no part in this: it may lie, lag
 //! or be stuck.
 
+mod caller;
 mod memory;
 mod running;
 mod site;
@@ -17,7 +18,9 @@
 
 use rand_chacha::ChaCha8Rng;
 
+pub use self::caller::Made;
 use self::{
+    caller::Makers,
     memory::{
         Known,
         Memory, //
@@ -41,7 +44,6 @@
     context::Context,
     document::Snapshot,
     frame::Fate,
-    habit::Habits,
     id,
     limit::Limit,
     metric::{
@@ -174,7 +176,7 @@
     limit: Limit,
     controller: Controller,
     memory: Memory,
-    habits: Habits,
+    makers: Makers,
     /// When a call of the service failed last.
     failed: Option<Time>,
 }
@@ -195,7 +197,7 @@
             limit: Limit::default(),
             controller: Controller::default(),
             memory: Memory::default(),
-            habits: Habits::default(),
+            makers: Makers::default(),
             failed: None,
         }
     }
@@ -294,11 +296,6 @@
         }
     }
 
-    /// Remembers that some running attempt calls this route.
-    pub fn called(&mut self, route: &id::Route) {
-        self.habits.called(route);
-    }
-
     /// Remembers that a call of the service failed. The attempt that made it
     /// will most likely fail for that, and trying it again would repeat all its
     /// other calls.
@@ -306,19 +303,6 @@
         self.failed = Some(now);
     }
 
-    /// Looks at what runs, and tells which routes call which.
-    fn learn(&mut self, now: Time, world: &mut World<'_>) {
-        let running = self.running.values().map(|running| &running.route);
-        if !world.policy.habits || !self.habits.look(now, running) {
-            return;
-        }
-        for (route, called) in self.habits.pairs() {
-            let took = self.site.usual(route);
-            let share = self.habits.share(route, called, took);
-            world.levels.calls(route, called, share);
-        }
-    }
-
     /// Takes one event and adds what is to be done.
     pub fn on(&mut self, now: Time, event: Event, world: &mut World<'_>, out: &mut Vec<Action>) {
         self.site.configure(world.snapshot);
@@ -514,7 +498,6 @@
         self.expire(now, world, out);
         self.limit.tick(now);
         self.control(now, world);
-        self.learn(now, world);
         self.memory.tick(now);
     }
 }
--- a/src/request/inbound/running.rs
+++ b/src/request/inbound/running.rs
@@ -54,9 +54,29 @@
         }
     }
 
+    /// When it must have ended.
+    pub(super) fn ends(&self) -> Time {
+        self.deadline
+    }
+
+    /// When it was started.
+    pub(super) fn begun(&self) -> Time {
+        self.begun
+    }
+
+    /// Whether nobody waits for it any more.
+    pub(super) fn is_aborted(&self) -> bool {
+        self.aborted
+    }
+
+    /// Whether it has called this route.
+    pub(super) fn has_called(&self, route: &id::Route) -> bool {
+        self.called.contains(route)
+    }
+
     /// Remembers that it calls this route.
     pub fn calls(&mut self, route: &id::Route) {
-        if !self.called.contains(route) {
+        if !self.has_called(route) {
             self.called.push(route.clone());
         }
     }
@@ -187,9 +207,7 @@
                 if now <= running.deadline {
                     self.site.took(now, &running.route, took);
                 }
-                if !world.policy.habits {
-                    world.levels.learn(&running.route, &running.called);
-                }
+                world.levels.learn(&running.route, &running.called);
             }
             End::Refused => self.limit.refused(),
             End::Rejected | End::Cut | End::Aborted => {}
--- a/src/request/inbound/site.rs
+++ b/src/request/inbound/site.rs
@@ -111,12 +111,6 @@
         }
     }
 
-    /// The time of service of a route as it was learnt last, however old.
-    pub fn usual(&self, route: &id::Route) -> Span {
-        let usual = self.routes.get(route);
-        Span::from_ms(usual.map_or(0, |usual| usual.ms as u64))
-    }
-
     /// The usual time of service over all routes, in milliseconds.
     pub fn usual_ms(&self) -> u64 {
         self.typical as u64
--- a/src/request/inbound/waiting.rs
+++ b/src/request/inbound/waiting.rs
@@ -9,7 +9,7 @@
 };
 use crate::{
     admission::{
-        Rank,
+        BAND, Rank,
         level::State,
         queue::{
             Item,
@@ -103,7 +103,7 @@
     ) {
         if world.policy.admission == Admission::Level {
             let mut patience = self.target(now).scale(PATIENCE);
-            if waiting.context.depth > 0 && world.policy.habits {
+            if waiting.context.depth > 0 && world.policy.attribution {
                 patience = patience.max(waiting.context.left.scale(CALL_PATIENCE));
             }
             waiting.expires = waiting.expires.min(now + patience);
@@ -290,13 +290,18 @@
 fn item(request: id::Request, waiting: &Waiting, world: &World<'_>) -> Item {
     let context = &waiting.context;
     let team = world.snapshot.teams.team(&context.team);
+    let ranked = world.policy.attribution && context.depth > 0;
     Item {
         request,
         importance: context.importance,
         nested: context.depth > 0,
         team: context.team.clone(),
         weight: team.map_or(1, |team| team.weight.0),
-        root: waiting.root,
+        turn: match ranked {
+            true => u64::from(BAND - Rank::within(context.root)),
+            false => waiting.root.as_ms(),
+        },
+        ranked,
     }
 }
 
--- a/src/request/ingress.rs
+++ b/src/request/ingress.rs
@@ -86,6 +86,8 @@
     pub replayable: bool,
     /// How long its caller waits, where it said so.
     pub left: Option<Span>,
+    /// The connection that it came over.
+    pub connection: id::Connection,
     /// The configuration may be out of date, so that neither a key nor the
     /// absence of a route proves anything.
     pub stale: bool,
--- a/src/request/ingress/arrival.rs
+++ b/src/request/ingress/arrival.rs
@@ -24,6 +24,7 @@
         Importance, //
     },
     id,
+    inbound::Made,
     metric::Counter,
     policy::{
         Admission,
@@ -70,8 +71,13 @@
         if arrival.leaving && !route.keyless {
             return Err(Code::Leaving);
         }
+        let mut maker = None;
         let mut context = match &arrival.origin {
-            Origin::Caller { .. } if route.keyless => self.keyless(arrival.call, route, world),
+            Origin::Caller { .. } if route.keyless => {
+                let (made_by, context) = self.keyless(now, &arrival, route, world);
+                maker = made_by;
+                context
+            }
             Origin::Caller { .. } if arrival.stale => return Err(Code::ConfigStale),
             Origin::Caller { key } => self.root(arrival.call, key.as_deref(), route, world)?,
             Origin::Service { parent } => nested(parent.as_ref(), route, world)?,
@@ -79,9 +85,6 @@
         context.left = arrival
             .left
             .map_or(context.left, |left| left.min(context.left));
-        if context.key.is_none() && context.parent.is_none() {
-            world.proxy.called(&route.name);
-        }
         if let Some(parent) = context.parent {
             world.proxy.calls(parent, &route.name);
             self.children
@@ -111,6 +114,10 @@
             purse: Purse::new(context.allowance),
             grant: None,
             tainted: None,
+            maker,
+            connection: arrival.connection,
+            rejected: Vec::new(),
+            confined: false,
             context,
         };
         self.timers.insert((deadline, arrival.call));
@@ -142,13 +149,40 @@
 
     /// The context of a call on a route for calls between the services. Nothing
     /// tells which request caused it, only that work has begun for one: turning
-    /// it away would waste that work, so it goes before all new requests.
-    fn keyless(&self, call: id::Call, route: &Route, world: &mut World<'_>) -> Context {
+    /// it away would waste that work. It has the importance and the place of the
+    /// request that most likely made it, so that the calls of one request are
+    /// served or shed together; without one it stands before all others.
+    fn keyless(
+        &self,
+        now: Time,
+        arrival: &Arrival,
+        route: &Route,
+        world: &mut World<'_>,
+    ) -> (Option<id::Request>, Context) {
         world.counts.add(Counter::Nested);
-        Context {
+        let context = Context {
             depth: 1,
-            ..self.context(call, route, world)
+            ..self.context(arrival.call, route, world)
+        };
+        if !world.policy.attribution {
+            return (None, context);
         }
+        let made = Made {
+            route: &route.name,
+            left: arrival.left,
+            connection: arrival.connection,
+        };
+        let Some((request, maker)) = world.proxy.caller(now, made, world.levels) else {
+            world.counts.add(Counter::Unattributed);
+            return (None, context);
+        };
+        let context = Context {
+            root: maker.root,
+            importance: maker.importance,
+            age: maker.age,
+            ..context
+        };
+        (Some(request), context)
     }
 
     fn context(&self, call: id::Call, route: &Route, world: &World<'_>) -> Context {
--- a/src/request/ingress/attempt.rs
+++ b/src/request/ingress/attempt.rs
@@ -74,6 +74,16 @@
                 let picked = peer.map(|peer| (peer.instance.clone(), peer.incarnation));
                 (picked, Code::RecordUnavailable)
             }
+            None if call.confined => {
+                let picked = self.balancer.among(
+                    now,
+                    world.members,
+                    &call.rejected,
+                    world.policy,
+                    world.rng,
+                );
+                (picked, Code::UpstreamRejected)
+            }
             None => {
                 let picked = self.balancer.pick(
                     now,
@@ -213,7 +223,7 @@
         world.counts.add(Counter::Whole);
         let mark = self.attempts[&request].mark;
         self.settle(now, request, report.spent, mark, world);
-        self.forget(number);
+        self.forget(now, number, world);
     }
 
     /// The attempt ended without an answer.
@@ -240,6 +250,11 @@
             _ => Mark::Well,
         };
         self.settle(now, request, report.spent, mark, world);
+        if code == Code::UpstreamRejected
+            && let Some(call) = self.calls.get_mut(&number)
+        {
+            call.rejected.push(peer.clone());
+        }
         let failure = match code.verdict() {
             Verdict::NotRun => Failure::NotRun(code),
             Verdict::Unknown => Failure::Unknown(code),
@@ -453,6 +468,18 @@
                 return None;
             }
         }
+        // Without an instance that has not refused it yet, going on would only
+        // ask again where there was no room a moment ago.
+        let onward = reason == Reason::NotRun && world.policy.reroutes > 0;
+        if onward
+            && failure != Failure::NotRun(Code::UpstreamRejected)
+            && !self
+                .balancer
+                .untried(world.members, &call.pool, &call.tried)
+        {
+            world.counts.add(Counter::Unretried(reason));
+            return None;
+        }
         let typical = self.typical.get(&call.route).copied().unwrap_or(0.0);
         let fits = now + Span::from_ms(typical as u64) < call.deadline;
         let free = match reason {
@@ -464,7 +491,7 @@
             }
             Reason::Unknown | Reason::Failed => false,
         };
-        let allowed = fits && (free || self.affordable(now, number, final_word, world));
+        let allowed = fits && (free || self.affordable(now, number, failure, final_word, world));
         if !allowed {
             world.counts.add(Counter::Unretried(reason));
         }
@@ -476,12 +503,15 @@
         &mut self,
         now: Time,
         number: id::Call,
+        failure: Failure,
         final_word: bool,
         world: &mut World<'_>,
     ) -> bool {
         let Some(call) = self.calls.get_mut(&number) else {
             return false;
         };
+        let rejected = failure == Failure::NotRun(Code::UpstreamRejected);
+        let again = rejected && call.rejected.len() <= usize::from(world.policy.rejections);
         if let Retries::Hop(most) = world.policy.retries {
             return call.retries < most;
         }
@@ -490,8 +520,18 @@
         let Some(purse) = call.purse(world.proxy.purses()) else {
             return false;
         };
-        let some = purse.left() > 0 && !final_word;
-        some && (!world.policy.ratio || self.budget.take(now, &pool, importance)) && purse.take()
+        let further = purse.left() > 0 && !final_word;
+        if !further && !again {
+            return false;
+        }
+        if world.policy.ratio && !self.budget.take(now, &pool, importance) {
+            return false;
+        }
+        if further {
+            return purse.take();
+        }
+        call.confined = true;
+        true
     }
 
     pub(super) fn retry(
--- a/src/request/ingress/call.rs
+++ b/src/request/ingress/call.rs
@@ -75,6 +75,17 @@
     pub grant: Option<id::Grant>,
     /// An earlier attempt may have run: no refusal may say otherwise.
     pub tainted: Option<Code>,
+    /// The attempt beside this node that most likely made it, where it names
+    /// none.
+    pub maker: Option<id::Request>,
+    /// The connection that it came over.
+    pub connection: id::Connection,
+    /// Instances whose upstream answered that it has not run it, as often as it
+    /// did.
+    pub rejected: Vec<id::Instance>,
+    /// It may be sent to no further instance, only again to those in
+    /// [`Call::rejected`].
+    pub confined: bool,
 }
 
 /// One attempt of a call.
--- a/src/request/ingress/end.rs
+++ b/src/request/ingress/end.rs
@@ -46,7 +46,7 @@
         self.last_word(now, number, world);
         world.counts.add(Counter::Refused(code));
         out.push(Action::Refuse(number, code));
-        self.forget(number);
+        self.forget(now, number, world);
     }
 
     /// The attempt that made this call must not be tried again for its failure:
@@ -99,7 +99,7 @@
             world.quota.give_back(now, &call.context.team, grant);
         }
         world.counts.add(Counter::Refused(Code::CallerGone));
-        self.forget(number);
+        self.forget(now, number, world);
     }
 
     /// The attempt that made nested calls is over: nobody takes their answers.
@@ -213,10 +213,13 @@
         }
     }
 
-    pub(super) fn forget(&mut self, number: id::Call) {
+    pub(super) fn forget(&mut self, now: Time, number: id::Call, world: &mut World<'_>) {
         let Some(call) = self.calls.remove(&number) else {
             return;
         };
+        if let Some(maker) = call.maker {
+            world.proxy.returned(now, maker, call.connection);
+        }
         self.timers.remove(&(call.wake, number));
         self.charging.remove(&number);
         if let Some(parent) = call.context.parent
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -4,7 +4,6 @@
 pub mod allowance;
 pub mod balance;
 pub mod context;
-pub mod habit;
 pub mod inbound;
 pub mod ingress;
 pub mod limit;
--- a/src/request/policy.rs
+++ b/src/request/policy.rs
@@ -65,9 +65,12 @@
     /// How often a call goes on to another instance, beside its retries, when
     /// one refused it before its upstream had seen it.
     pub reroutes: u8,
-    /// Which requests make which calls is learnt from what runs together, as
-    /// nothing tells it.
-    pub habits: bool,
+    /// How often a call may be sent again to upstreams that answered that they
+    /// have not run it, once it may go to no further one.
+    pub rejections: u8,
+    /// Calls that name no attempt are given to the one that most likely made
+    /// them; see [`crate::inbound::Proxy::caller`].
+    pub attribution: bool,
     /// How long a call waits for a rate token.
     pub token_wait: Span,
     /// What nobody waits for any longer is cancelled, with its nested calls.
@@ -110,7 +113,8 @@
             newest_first: true,
             deadline: true,
             reroutes: 0,
-            habits: false,
+            rejections: 0,
+            attribution: false,
             token_wait: TOKEN_WAIT,
             cancel: true,
             load: true,
--- a/src/standin/driver/work.rs
+++ b/src/standin/driver/work.rs
@@ -149,6 +149,7 @@
         });
         let call = Call {
             left: None,
+            connection: id::Connection::default(),
             call: id::Call(self.ledger.jobs.len() as u64),
             origin,
             host: "test".into(),
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -5,10 +5,10 @@
 
 #[path = "policy/allowance.rs"]
 mod allowance;
+#[path = "policy/attribution.rs"]
+mod attribution;
 #[path = "policy/balance.rs"]
 mod balance;
-#[path = "policy/habit.rs"]
-mod habit;
 #[path = "policy/inbound.rs"]
 mod inbound;
 #[path = "policy/limit.rs"]
@@ -17,3 +17,5 @@
 mod orders;
 #[path = "policy/overload.rs"]
 mod overload;
+#[path = "policy/rejection.rs"]
+mod rejection;
--- a/tests/policy/orders.rs
+++ b/tests/policy/orders.rs
@@ -212,6 +212,7 @@
         };
         let arrival = Arrival {
             left: None,
+            connection: id::Connection::default(),
             stale: false,
             leaving: false,
             call: CALL,
