A later life is a higher one, silent connections are given up, waiting callers by team

Cause 1: a life is numbered by the time of day. A node whose clock was ahead when it began, and right when it came back, had the lower number: the others kept to the former life and the instance got no work. A node now reads the record of its former life first and begins above it; what is known of an instance that is gone is forgotten.

Cause 2: a connection that goes silent without a reset held its requests until their deadline. Links and connections to upstreams are probed by the system and given up after 3 s without an answer. An own ping was weighed: it wakes the process, and it takes a busy peer for a dead one.

Cause 3: each rate token that came tried all waiting calls of its team, each of which counted all others: quadratic in a crowd. They are kept by team and tried in order until there is none.

--- a/src/connection/link.rs
+++ b/src/connection/link.rs
@@ -42,7 +42,10 @@
     },
 };
 
-use super::secret::Ring;
+use super::{
+    secret::Ring,
+    socket, //
+};
 use crate::{
     clock::Span,
     error::{
@@ -166,7 +169,7 @@
     ring: &Ring,
 ) -> Result<Socket> {
     let stream = TcpStream::connect(address).await?;
-    stream.set_nodelay(true)?;
+    socket::prepare(&stream)?;
     let url = format!("ws://{address}/link");
     let (mut socket, _) = client_async_with_config(url, stream, Some(config(HELLO_LIMIT)))
         .await
@@ -207,7 +210,7 @@
     me: &id::Instance,
     ring: &Ring,
 ) -> Result<(id::Instance, Socket)> {
-    stream.set_nodelay(true)?;
+    socket::prepare(&stream)?;
     let mut socket = accept_async_with_config(stream, Some(config(HELLO_LIMIT)))
         .await
         .map_err(broken)?;
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -9,4 +9,5 @@
 pub mod message;
 pub(crate) mod refusal;
 pub(crate) mod secret;
+pub mod socket;
 pub(crate) mod upstream;
--- a/src/connection/upstream.rs
+++ b/src/connection/upstream.rs
@@ -50,6 +50,7 @@
         self,
         Names, //
     },
+    socket,
 };
 use crate::{
     clock::{
@@ -155,7 +156,7 @@
         let connecting = TcpStream::connect(self.address);
         let stream = tokio::time::timeout(CONNECT_TIMEOUT.to_std(), connecting).await;
         let stream = stream.ok()?.ok()?;
-        stream.set_nodelay(true).ok()?;
+        socket::prepare(&stream).ok()?;
         Some(stream)
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,7 +37,8 @@
     connection::{
         frame,
         header,
-        message, //
+        message,
+        socket, //
     },
     error::{
         Category,
--- a/src/process/directory.rs
+++ b/src/process/directory.rs
@@ -18,6 +18,7 @@
         Time, //
     },
     id::{
+        Incarnation,
         Instance,
         Lease,
         Revision, //
@@ -29,7 +30,8 @@
     store::{
         Answer,
         Call,
-        Entry, //
+        Entry,
+        Store, //
     },
 };
 
@@ -53,6 +55,10 @@
 const FIRST_PAUSE: Span = Span::from_ms(50);
 const LONGEST_PAUSE: Span = Span::from_ms(800);
 
+/// How long a node that begins waits for the record of its former life. A store
+/// that is slow answers within a quarter of a second.
+const FORMER: Span = Span::from_ms(300);
+
 /// What changed among the members.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Change {
@@ -273,7 +279,7 @@
         }
         let value = serde_json::to_string(&self.me).ok()?;
         registration.writing = Some(self.me.clone());
-        let key = format!("{PREFIX}{}", self.me.instance);
+        let key = record_key(&self.me.instance);
         let lease = Some(lease);
         Some(match registration.former {
             Some(expect) => Call::Swap {
@@ -500,6 +506,27 @@
     }
 }
 
+/// The life of an instance that its record in the store speaks of; none when
+/// there is no record, or no word of the store within [`FORMER`].
+///
+/// Guards against a time of day that goes back between two lives of a node. Its
+/// new life would then be the lower one: the others would take its record for an
+/// old one, address every request to the life that is gone, and the instance
+/// would get no work until its clock had passed the old place.
+pub async fn former_life(store: &dyn Store, instance: &Instance) -> Option<Incarnation> {
+    let key = record_key(instance);
+    let asked = store.call(Call::Get { key });
+    let answer = tokio::time::timeout(FORMER.to_std(), asked).await;
+    let Ok(Answer::Value(Some(entry))) = answer else {
+        return None;
+    };
+    peer(&entry.key, &entry.value).map(|peer| peer.incarnation)
+}
+
+fn record_key(instance: &Instance) -> String {
+    format!("{PREFIX}{instance}")
+}
+
 /// A record, if it can be read and stands under its own name.
 fn peer(key: &str, value: &str) -> Option<Peer> {
     let peer: Peer = serde_json::from_str(value).ok()?;
--- a/src/process/node/listed.rs
+++ b/src/process/node/listed.rs
@@ -337,7 +337,8 @@
                     self.members.remove(&name);
                     out.push(Action::Note(Note::Gone(name.clone())));
                     // Nobody there will answer what is still under way.
-                    self.ingress(now, ingress::Event::Broken(name), out);
+                    self.ingress(now, ingress::Event::Broken(name.clone()), out);
+                    self.router.forget_instance(&name);
                 }
             }
         }
--- a/src/process/server.rs
+++ b/src/process/server.rs
@@ -45,7 +45,7 @@
         },
         door,
     },
-    document,
+    directory, document,
     error::Result,
     export, id,
     interface::Interface,
@@ -184,7 +184,13 @@
         let doors = Listeners::bind(&settings).await?;
         let (links, socket) = bind_pair(settings.listen.links).await?;
         let addresses = doors.addresses(links.local_addr()?)?;
-        let me = identity(&settings, addresses.links);
+        let mut me = identity(&settings, addresses.links);
+        if interface.configuration.is_some()
+            && let Some(store) = &store
+            && let Some(former) = directory::former_life(&**store, &me.instance).await
+        {
+            me.incarnation = me.incarnation.max(id::Incarnation(former.0 + 1));
+        }
         let mut core = Core::new(Identity {
             peer: me.clone(),
             seed: rand::random(),
--- a/src/request/balance.rs
+++ b/src/request/balance.rs
@@ -170,6 +170,12 @@
         Some((chosen.instance.clone(), self.life(chosen)))
     }
 
+    /// Forgets an instance that is gone. One that comes back under its name is
+    /// judged anew.
+    pub fn forget(&mut self, instance: &Instance) {
+        self.views.remove(instance);
+    }
+
     /// Whether there is an instance that has not been tried.
     pub fn untried(&self, members: &Table, pool: &Pool, tried: &[Instance]) -> bool {
         let mut there = members
--- a/src/request/ingress.rs
+++ b/src/request/ingress.rs
@@ -194,7 +194,8 @@
     calls: BTreeMap<id::Call, Call>,
     attempts: BTreeMap<id::Request, Attempt>,
     children: BTreeMap<id::Request, BTreeSet<id::Call>>,
-    charging: BTreeSet<id::Call>,
+    /// Calls that wait for a rate token, by team, the oldest first.
+    charging: BTreeMap<id::Team, BTreeSet<id::Call>>,
     timers: BTreeSet<(Time, id::Call)>,
     balancer: Balancer,
     budget: Budget,
@@ -212,7 +213,7 @@
             calls: BTreeMap::new(),
             attempts: BTreeMap::new(),
             children: BTreeMap::new(),
-            charging: BTreeSet::new(),
+            charging: BTreeMap::new(),
             timers: BTreeSet::new(),
             balancer: Balancer::new(own),
             budget: Budget::default(),
@@ -226,13 +227,17 @@
         self.budget.limit(terms);
     }
 
-    /// Calls that wait for a rate token, by team.
+    /// Forgets what is known of an instance that is gone.
+    pub fn forget_instance(&mut self, instance: &id::Instance) {
+        self.balancer.forget(instance);
+    }
+
+    /// How many calls of each team wait for a rate token.
     pub fn charging(&self) -> BTreeMap<id::Team, u32> {
-        let mut waiting = BTreeMap::new();
-        for call in self.charging.iter().filter_map(|call| self.calls.get(call)) {
-            *waiting.entry(call.context.team.clone()).or_default() += 1;
-        }
-        waiting
+        let teams = self.charging.iter();
+        teams
+            .map(|(team, calls)| (team.clone(), calls.len() as u32))
+            .collect()
     }
 
     /// Calls that have not been answered whole.
--- a/src/request/ingress/arrival.rs
+++ b/src/request/ingress/arrival.rs
@@ -1,5 +1,7 @@
 //! A call before its first attempt: route, key, rate, early shedding.
 
+use std::collections::BTreeSet;
+
 use rand::RngExt;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -226,7 +228,7 @@
             match charged(world.quota.take_beside(now, &team, others)) {
                 Ok(Some(grant)) => call.grant = Some(grant),
                 Ok(None) if now < until => {
-                    self.charging.insert(number);
+                    self.charging.entry(team).or_default().insert(number);
                     return self.wake(number, until);
                 }
                 Ok(None) => {
@@ -239,17 +241,30 @@
                 Err(code) => return self.fail(now, number, code, world, out),
             }
         }
-        self.charging.remove(&number);
+        self.charged(number);
         self.first(now, number, world, out);
     }
 
     /// Other calls of the team that wait for a token.
     fn waiting_beside(&self, number: id::Call, team: &id::Team) -> u32 {
-        let of = |other: &&id::Call| {
-            let call = self.calls.get(*other);
-            **other != number && call.is_some_and(|call| call.context.team == *team)
+        let waiting = self.charging.get(team);
+        waiting.map_or(0, |calls| {
+            calls.len() as u32 - u32::from(calls.contains(&number))
+        })
+    }
+
+    /// The call waits for no token any more.
+    pub(super) fn charged(&mut self, number: id::Call) {
+        let Some(call) = self.calls.get(&number) else {
+            return;
         };
-        self.charging.iter().filter(of).count() as u32
+        let team = &call.context.team;
+        if let Some(waiting) = self.charging.get_mut(team) {
+            waiting.remove(&number);
+            if waiting.is_empty() {
+                self.charging.remove(team);
+            }
+        }
     }
 
     /// Takes another token for a root whose token ended before it began.
@@ -267,7 +282,9 @@
         self.charge(now, number, world, out);
     }
 
-    /// Tries again for all calls of a team that wait for a token.
+    /// Tries again for the calls of a team that wait for a token, the oldest
+    /// first, until there is none left. A crowd of one team has hundreds waiting,
+    /// and trying them all for each few tokens would take the node's whole time.
     pub(super) fn charge_team(
         &mut self,
         now: Time,
@@ -275,13 +292,15 @@
         world: &mut World<'_>,
         out: &mut Vec<Action>,
     ) {
-        let of = |number: &id::Call| {
-            let call = self.calls.get(number);
-            call.is_some_and(|call| call.context.team == *team)
-        };
-        let waiting: Vec<_> = self.charging.iter().copied().filter(of).collect();
-        for number in waiting {
+        while let Some(waiting) = self.charging.get(team)
+            && let Some(number) = waiting.first().copied()
+        {
+            let before = waiting.len();
             self.charge(now, number, world, out);
+            let after = self.charging.get(team).map_or(0, BTreeSet::len);
+            if after >= before {
+                return;
+            }
         }
     }
 
--- a/src/request/ingress/end.rs
+++ b/src/request/ingress/end.rs
@@ -214,6 +214,7 @@
     }
 
     pub(super) fn forget(&mut self, now: Time, number: id::Call, world: &mut World<'_>) {
+        self.charged(number);
         let Some(call) = self.calls.remove(&number) else {
             return;
         };
@@ -221,7 +222,6 @@
             world.proxy.returned(now, maker, call.connection);
         }
         self.timers.remove(&(call.wake, number));
-        self.charging.remove(&number);
         if let Some(parent) = call.context.parent
             && let Some(children) = self.children.get_mut(&parent)
         {
--- a/tests/path/link.rs
+++ b/tests/path/link.rs
@@ -225,3 +225,28 @@
         assert_eq!(lives.len(), number);
     });
 }
+
+/// A connection goes silent without a reset, and every request sent over it
+/// waited until its deadline. The system probes it and gives it up.
+#[test]
+fn a_connection_is_probed_and_given_up() {
+    use rustix::net::sockopt;
+    actix_rt::System::new().block_on(async {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let stream = tokio::net::TcpStream::connect(address)
+            .await
+            .expect("a connection");
+        assert!(!sockopt::socket_keepalive(&stream).expect("an option"));
+        bluebellswitch::socket::prepare(&stream).expect("options");
+        assert!(sockopt::socket_keepalive(&stream).expect("an option"));
+        let unanswered = sockopt::tcp_user_timeout(&stream).expect("an option");
+        assert!((1000..5000).contains(&unanswered), "{unanswered} ms");
+        let idle = sockopt::tcp_keepidle(&stream).expect("an option");
+        let interval = sockopt::tcp_keepintvl(&stream).expect("an option");
+        let probes = sockopt::tcp_keepcnt(&stream).expect("an option");
+        assert!(idle + interval * probes <= std::time::Duration::from_secs(5));
+    });
+}
--- a/tests/platform/path.rs
+++ b/tests/platform/path.rs
@@ -459,3 +459,23 @@
         assert!(answers[CONNECTIONS - 1], "the last one closes: {answers:?}");
     });
 }
+
+/// A node's clock was two seconds ahead when it began, was put right, and the
+/// node was killed and came back. Its new life was the lower one, so the others
+/// went on addressing the old one, and the server got no request any more.
+#[test]
+fn a_life_after_a_clock_that_went_back_is_the_later_one() {
+    run(async {
+        let site = Site::start(|seen| whole(seen, "stock")).await;
+        let ahead = site.machines[1].node.peer().incarnation.0 + (1 << 40);
+        let mut record = site.machines[1].node.peer();
+        record.instance = "c-1".parse().expect("a name");
+        record.incarnation = bluebellswitch::id::Incarnation(ahead);
+        let text = serde_json::to_string(&record).expect("text");
+        site.store.put("bluebellswitch/nodes/c-1", &text);
+        let mut site = site;
+        site.add("c-1", "c", "registry", |seen| whole(seen, "stock"))
+            .await;
+        assert_eq!(site.machines[2].node.peer().incarnation.0, ahead + 1);
+    });
+}
