Logs: a line for each decision on a request, by its caller's own id, bounded

Cause: single requests had lines only at the debug level and without the caller's id, so a failure could not be followed from one node to the next. Every decision is now a typed event in one module, written at the default level with what decided it: code, level, load, time left, version and its age.

--- a/src/connection/caller.rs
+++ b/src/connection/caller.rs
@@ -43,7 +43,10 @@
 };
 use crate::{
     carrier::Carrier,
-    clock::Span,
+    clock::{
+        Clock,
+        Span, //
+    },
     code::Code,
     frame::Head,
     id,
@@ -195,7 +198,8 @@
         left: None,
         connection: id::Connection::default(),
     };
-    let guard = carrier.begin(call, Pending::new(reply, head, source));
+    let pending = Pending::new(Clock.now(), reply, head, source, names);
+    let guard = carrier.begin(call, pending);
     carrier.on(Event::Call(event));
     match answered.await {
         Ok(Reply::Answer(head, inlet)) => Ok(answer(&head, is_head, inlet, guard)),
--- a/src/connection/door.rs
+++ b/src/connection/door.rs
@@ -445,7 +445,8 @@
     };
     let is_head = head.method == "HEAD";
     let (reply, answered) = oneshot::channel();
-    let guard = carrier.begin(call, Pending::new(reply, head, source));
+    let pending = Pending::new(Clock.now(), reply, head, source, names);
+    let guard = carrier.begin(call, pending);
     shared.push(Exchange {
         reply: Wanted::Asked(answered),
         guard: Some(guard),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -50,6 +50,7 @@
         announce,
         client,
         directory,
+        event,
         interface,
         lease,
         log,
--- a/src/process/carrier.rs
+++ b/src/process/carrier.rs
@@ -48,6 +48,10 @@
         upstream,
     },
     context::Context,
+    event::{
+        Name,
+        Recorder, //
+    },
     frame::{
         Frame,
         Head,
@@ -73,8 +77,7 @@
         Guard,
         Pending,
         Reply,
-        Trace,
-        log_refusal, //
+        //
     },
     settings::{
         Limits,
@@ -85,6 +88,7 @@
 
 /// An attempt that this node sent.
 pub(crate) struct Attempt {
+    pub(crate) call: id::Call,
     pub(crate) peer: id::Instance,
     pub(crate) inlet: Rc<Inlet>,
     pub(crate) outlet: Rc<Outlet>,
@@ -97,7 +101,11 @@
     pub(crate) head: Head,
     pub(crate) context: Context,
     pub(crate) claimed: bool,
-    pub(crate) trace: Trace,
+    /// What its lines in the log call it.
+    pub(crate) name: Name,
+    pub(crate) route: id::Route,
+    pub(crate) arrived: Time,
+    pub(crate) started: Option<Time>,
     pub(crate) inlet: Rc<Inlet>,
     pub(crate) outlet: Rc<Outlet>,
     /// Dropping it aborts what the upstream does; absent before the start.
@@ -154,6 +162,8 @@
     draining: Cell<bool>,
     stopped: Cell<bool>,
     left: Cell<bool>,
+    /// Writes what was decided on single requests.
+    pub(crate) recorder: Recorder,
     /// What the last summary in the log told, and when.
     told: RefCell<(Time, Counts)>,
     /// Told when the node begins to drain, and when it has stopped.
@@ -206,6 +216,7 @@
             draining: Cell::new(false),
             stopped: Cell::new(false),
             left: Cell::new(false),
+            recorder: Recorder::default(),
             told: RefCell::default(),
             changed: Notify::new(),
             woken: Notify::new(),
@@ -334,7 +345,10 @@
 
     /// The caller of a call has its answer, or is gone.
     pub(crate) fn finish(&self, call: id::Call) {
-        self.calls.borrow_mut().remove(&call);
+        let ended = self.calls.borrow_mut().remove(&call);
+        if let Some(pending) = ended.filter(|pending| pending.reply.is_some()) {
+            self.record_gone(&pending, call);
+        }
         self.on(Event::Gone(call));
         self.changed.notify_waiters();
     }
@@ -373,14 +387,16 @@
                 context,
                 claim,
             } => {
-                let trace = Trace::new(request, &context, &route);
                 let head = self.with_call(call, |pending| {
-                    pending.trace = Some(trace);
+                    pending.attempts = pending.attempts.saturating_add(1);
+                    let name = || Name::new(None, context.root);
+                    pending.name.get_or_insert_with(name);
                     pending.head.clone()
                 });
                 let Some(head) = head else { return };
+                self.record_sent(call, request, &peer, &route, &context);
                 let length = head.length;
-                let outlet = self.attempt(request, &peer);
+                let outlet = self.attempt(call, request, &peer);
                 let frame = Frame::Attempt {
                     request,
                     life,
@@ -398,9 +414,11 @@
             Action::Refuse(call, code) => self.refuse(call, code),
             Action::Frame(peer, frame) => {
                 match &frame {
-                    Frame::Finish { request, .. } | Frame::Refuse { request, .. } => {
+                    Frame::Refuse { request, code, .. } => {
+                        self.record_turned(*request, *code);
                         self.forget_running(*request);
                     }
+                    Frame::Finish { request, .. } => self.forget_running(*request),
                     Frame::Cancel { request } => self.forget_attempt(*request),
                     _ => {}
                 }
@@ -425,9 +443,10 @@
     }
 
     /// Registers an attempt about to be sent.
-    fn attempt(&self, request: id::Request, peer: &id::Instance) -> Rc<Outlet> {
+    fn attempt(&self, call: id::Call, request: id::Request, peer: &id::Instance) -> Rc<Outlet> {
         let outlet = Outlet::new();
         let attempt = Attempt {
+            call,
             peer: peer.clone(),
             inlet: self.inlet(peer, request, Side::Answer),
             outlet: outlet.clone(),
@@ -461,9 +480,7 @@
         };
         if let (Some(reply), Some(head)) = (pending.reply.take(), attempt.head.take()) {
             pending.delivered = Some(request);
-            if let Some(trace) = &pending.trace {
-                trace.log(log::Level::Debug, head.status, "answered");
-            }
+            self.record_answered(pending, request, head.status);
             let _ = reply.send(Reply::Answer(head, attempt.inlet.clone()));
         }
     }
@@ -475,7 +492,7 @@
             return;
         };
         if let Some(reply) = pending.reply.take() {
-            log_refusal(pending.trace.as_ref(), call, code);
+            self.record_refused(pending, call, code);
             let _ = reply.send(Reply::Refuse(code));
         } else if let Some(request) = pending.delivered
             && let Some(attempt) = self.attempts.borrow().get(&request)
@@ -575,9 +592,15 @@
             .filter(|(_, count)| *count > 0)
             .map(|(counter, count)| format!("{counter:?}={count}"))
             .collect();
-        let report = self.core.borrow().load_line();
+        let load = core.load(now);
+        let left_out = self.recorder.left_out();
         if !news.is_empty() {
-            log::info!(counts = news.join(" "), load = report; "summary");
+            log::info!(
+                counts = news.join(" "), running = load.running, limit = load.limit,
+                waiting = load.waiting, level = load.level, left_out = left_out,
+                dropped = crate::log::dropped();
+                "summary"
+            );
         }
         *told = (now, counts.clone());
     }
--- a/src/process/intake.rs
+++ b/src/process/intake.rs
@@ -9,6 +9,7 @@
         Carrier,
         Running, //
     },
+    clock::Clock,
     connection::body::{
         Inlet,
         Outlet, //
@@ -25,7 +26,6 @@
     id,
     metric::Counter,
     node::Event,
-    pending::Trace,
 };
 
 impl Carrier {
@@ -54,10 +54,13 @@
                 }
                 let running = Running {
                     peer: peer.clone(),
-                    head,
                     context: context.clone(),
                     claimed: claim.is_some(),
-                    trace: Trace::new(*request, context, route),
+                    name: self.name_of(&head, context),
+                    head,
+                    route: route.clone(),
+                    arrived: Clock.now(),
+                    started: None,
                     inlet,
                     outlet: Outlet::new(),
                     abort: None,
@@ -87,6 +90,11 @@
                 }
                 return Ok(());
             }
+            Frame::Refuse {
+                request,
+                code,
+                report,
+            } => self.record_declined(peer, *request, *code, report),
             _ => {}
         }
         self.on(Event::Frame(peer.clone(), frame));
--- a/src/process/log.rs
+++ b/src/process/log.rs
@@ -39,6 +39,8 @@
             flag.into()
         } else if let Some(number) = value.to_u64() {
             number.into()
+        } else if let Some(number) = value.to_i64() {
+            number.into()
         } else if let Some(number) = value.to_f64() {
             number.into()
         } else {
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -28,6 +28,7 @@
     code::Code,
     context::Context,
     document,
+    event::Load,
     frame::{
         Frame,
         Whole, //
@@ -291,9 +292,9 @@
         &mut self.members
     }
 
-    /// How the upstream is used, in one line.
-    pub(crate) fn load_line(&self) -> String {
-        self.proxy.load_line()
+    /// How the upstream is used.
+    pub(crate) fn load(&self, now: Time) -> Load {
+        self.proxy.load(now)
     }
 
     /// What has been counted.
--- /dev/null
+++ b/src/process/recorder.rs
@@ -0,0 +1,171 @@
+//! Tells the log what was decided on the requests that a node carries.
+
+use crate::{
+    carrier::{
+        Carrier,
+        Running, //
+    },
+    clock::{
+        Clock,
+        Time, //
+    },
+    code::Code,
+    connection::header,
+    context::Context,
+    event::{
+        Event,
+        Known,
+        Name, //
+    },
+    frame::Head,
+    id,
+    inbound::End,
+    outcome::Report,
+    pending::Pending,
+};
+
+impl Carrier {
+    /// The name of a request that came in for the own upstream.
+    pub(crate) fn name_of(&self, head: &Head, context: &Context) -> Name {
+        let own = header::request(&head.headers, &self.interface.names);
+        Name::new(own.as_deref(), context.root)
+    }
+
+    fn known(&self, now: Time) -> Known {
+        let core = self.core();
+        Known {
+            version: core.snapshot().version,
+            age: core.listed_age(now),
+        }
+    }
+
+    /// Without an id of its caller's a call is named by its number here until it
+    /// has a root.
+    fn name(&self, pending: &Pending, call: id::Call) -> Name {
+        let number = || Name::new(None, format_args!("{}/{call}", self.me.instance));
+        pending.name.clone().unwrap_or_else(number)
+    }
+
+    pub(crate) fn record_sent(
+        &self,
+        call: id::Call,
+        attempt: id::Request,
+        peer: &id::Instance,
+        route: &id::Route,
+        context: &Context,
+    ) {
+        let now = Clock.now();
+        let known = self.known(now);
+        self.with_call(call, |pending| {
+            let event = Event::Sent {
+                attempt,
+                peer,
+                route,
+                context,
+                attempts: pending.attempts,
+                known,
+            };
+            self.recorder.record(now, &self.name(pending, call), &event);
+        });
+    }
+
+    pub(crate) fn record_declined(
+        &self,
+        peer: &id::Instance,
+        attempt: id::Request,
+        code: Code,
+        report: &Report,
+    ) {
+        let attempts = self.attempts.borrow();
+        let Some(call) = attempts.get(&attempt).map(|attempt| attempt.call) else {
+            return;
+        };
+        self.with_call(call, |pending| {
+            let event = Event::Declined {
+                attempt,
+                peer,
+                code,
+                report,
+            };
+            let name = self.name(pending, call);
+            self.recorder.record(Clock.now(), &name, &event);
+        });
+    }
+
+    pub(crate) fn record_answered(&self, pending: &Pending, attempt: id::Request, status: u16) {
+        let now = Clock.now();
+        let Some(name) = &pending.name else { return };
+        let event = Event::Answered {
+            attempt,
+            status,
+            waited: now.since(pending.begun),
+        };
+        self.recorder.record(now, name, &event);
+    }
+
+    pub(crate) fn record_refused(&self, pending: &Pending, call: id::Call, code: Code) {
+        let now = Clock.now();
+        let event = Event::Refused {
+            code,
+            path: pending.path(),
+            waited: now.since(pending.begun),
+            attempts: pending.attempts,
+            known: self.known(now),
+        };
+        self.recorder.record(now, &self.name(pending, call), &event);
+    }
+
+    pub(crate) fn record_gone(&self, pending: &Pending, call: id::Call) {
+        let now = Clock.now();
+        let event = Event::CallerGone {
+            waited: now.since(pending.begun),
+        };
+        self.recorder.record(now, &self.name(pending, call), &event);
+    }
+
+    pub(crate) fn record_started(&self, now: Time, attempt: id::Request, running: &Running) {
+        let event = Event::Started {
+            attempt,
+            peer: &running.peer,
+            route: &running.route,
+            context: &running.context,
+            waited: now.since(running.arrived),
+            load: self.core().load(now),
+        };
+        self.recorder.record(now, &running.name, &event);
+    }
+
+    /// Tells why an attempt was not handed to the upstream. The end of one that
+    /// was is told by [`Carrier::record_ended`].
+    pub(crate) fn record_turned(&self, attempt: id::Request, code: Code) {
+        let now = Clock.now();
+        let running = self.running.borrow();
+        let Some(running) = running.get(&attempt).filter(|r| r.started.is_none()) else {
+            return;
+        };
+        let event = Event::TurnedAway {
+            attempt,
+            peer: &running.peer,
+            route: &running.route,
+            context: &running.context,
+            code,
+            load: self.core().load(now),
+        };
+        self.recorder.record(now, &running.name, &event);
+    }
+
+    pub(crate) fn record_ended(&self, attempt: id::Request, end: End) {
+        let now = Clock.now();
+        let running = self.running.borrow();
+        let Some(running) = running.get(&attempt) else {
+            return;
+        };
+        let event = Event::Ended {
+            attempt,
+            route: &running.route,
+            end,
+            took: now.since(running.started.unwrap_or(running.arrived)),
+        };
+        self.recorder.record(now, &running.name, &event);
+    }
+}
--- a/src/process/relay.rs
+++ b/src/process/relay.rs
@@ -217,6 +217,7 @@
                 end = carrier.run(exchange) => end,
             };
             carrier.attempted(end);
+            carrier.record_ended(request, end);
             carrier.on(Event::Ended(request, end));
         });
     }
@@ -231,7 +232,9 @@
         let mut running = self.running.borrow_mut();
         let running = running.get_mut(&request)?;
         running.abort = Some(abort);
-        running.trace.log(log::Level::Debug, 0, "started");
+        let now = Clock.now();
+        running.started = Some(now);
+        self.record_started(now, request, running);
         let mut head = std::mem::take(&mut running.head);
         let mut context = running.context.clone();
         context.left = Clock.now().until(deadline);
--- a/src/request/inbound.rs
+++ b/src/request/inbound.rs
@@ -43,6 +43,7 @@
     code::Code,
     context::Context,
     document::Snapshot,
+    event::Load,
     frame::Fate,
     id,
     limit::Limit,
@@ -207,16 +208,14 @@
         self.running.len() + self.waiting.len()
     }
 
-    /// How the upstream is used, in one line.
-    pub(crate) fn load_line(&self) -> String {
-        format!(
-            "running {} of {}, waiting {}, level {:.2}, typical {} ms",
-            self.running.len(),
-            self.site.slots().unwrap_or(0),
-            self.waiting.len(),
-            self.controller.height(),
-            self.site.usual_ms(),
-        )
+    /// How the upstream is used.
+    pub(crate) fn load(&self, now: Time) -> Load {
+        Load {
+            running: self.running.len(),
+            limit: self.limit.current(now),
+            waiting: self.waiting.len(),
+            level: self.controller.height(),
+        }
     }
 
     /// Whether nothing is in flight or waits.
--- a/src/request/inbound/site.rs
+++ b/src/request/inbound/site.rs
@@ -111,11 +111,6 @@
         }
     }
 
-    /// The usual time of service over all routes, in milliseconds.
-    pub fn usual_ms(&self) -> u64 {
-        self.typical as u64
-    }
-
     /// An attempt was started.
     pub fn started(&mut self, now: Time) {
         self.last_start = now;
--- a/src/request/pending.rs
+++ b/src/request/pending.rs
@@ -8,12 +8,16 @@
 
 use crate::{
     carrier::Carrier,
-    code::{
-        Code,
-        Verdict, //
+    clock::Time,
+    code::Code,
+    connection::{
+        body::Inlet,
+        header::{
+            self,
+            Names, //
+        },
     },
-    connection::body::Inlet,
-    context::Context,
+    event::Name,
     frame::Head,
     id,
     metric::Counter, //
@@ -46,52 +50,39 @@
 pub(crate) struct Pending {
     pub(crate) reply: Option<oneshot::Sender<Reply>>,
     pub(crate) delivered: Option<id::Request>,
-    pub(crate) trace: Option<Trace>,
     pub(crate) head: Head,
     pub(crate) source: Source,
+    /// What its lines in the log call it; none before it has an id.
+    pub(crate) name: Option<Name>,
+    /// When its head had been read.
+    pub(crate) begun: Time,
+    /// Attempts so far.
+    pub(crate) attempts: u8,
 }
 
 impl Pending {
-    pub(crate) fn new(reply: oneshot::Sender<Reply>, head: Head, source: Source) -> Self {
+    pub(crate) fn new(
+        now: Time,
+        reply: oneshot::Sender<Reply>,
+        head: Head,
+        source: Source,
+        names: &Names,
+    ) -> Self {
+        let own = header::request(&head.headers, names);
         Self {
             reply: Some(reply),
             delivered: None,
-            trace: None,
+            name: own.map(|own| Name::new(Some(&own), "")),
+            begun: now,
+            attempts: 0,
             head,
             source,
         }
     }
-}
-
-/// What a line of the log tells of a request.
-pub(crate) struct Trace {
-    pub(crate) request: id::Request,
-    pub(crate) root: id::Root,
-    pub(crate) team: id::Team,
-    pub(crate) route: id::Route,
-}
-
-impl Trace {
-    pub(crate) fn new(request: id::Request, context: &Context, route: &id::Route) -> Self {
-        Self {
-            request,
-            root: context.root,
-            team: context.team.clone(),
-            route: route.clone(),
-        }
-    }
 
-    /// Logs how the request ended.
-    pub(crate) fn log(&self, level: log::Level, code: u16, text: &str) {
-        log::log!(
-            level,
-            request:% = self.request,
-            root:% = self.root,
-            team:% = self.team,
-            route:% = self.route,
-            code = code;
-            "{text}"
-        );
+    /// The path that it was sent to. What follows it may be private.
+    pub(crate) fn path(&self) -> &str {
+        self.head.target.split('?').next().unwrap_or_default()
     }
 }
 
@@ -113,16 +104,3 @@
         self.carrier.finish(self.call);
     }
 }
-
-/// Logs a refusal. Those that may have run are rare and matter; the others can
-/// be thousands a second under overload, and are counted anyway.
-pub(crate) fn log_refusal(trace: Option<&Trace>, call: id::Call, code: Code) {
-    let level = match code.verdict() {
-        Verdict::Unknown => log::Level::Warn,
-        Verdict::NotRun => log::Level::Debug,
-    };
-    match trace {
-        Some(trace) => trace.log(level, code as u16, "refused"),
-        None => log::log!(level, call = call.0, code = code as u16; "refused"),
-    }
-}
