--- a/src/request/admission/level.rs
+++ b/src/request/admission/level.rs
@@ -164,12 +164,17 @@
             return;
         };
         let shed = self.height - band;
-        let mut teams: Vec<&mut Demand> = self
-            .demand
-            .iter_mut()
-            .filter(|((of, _), _)| of == importance)
-            .map(|(_, demand)| demand)
-            .collect();
+        let services = Team::services();
+        let here = self.demand.iter_mut();
+        let here = here.filter(|((of, _), _)| of == importance);
+        let (services, teams): (Vec<_>, Vec<_>) = here.partition(|((_, of), _)| *of == services);
+        // Calls between services are no team of their own: they are made for
+        // requests of all teams, and are cut as much as new work on the whole.
+        // As one team among many they would get one share of many.
+        services
+            .into_iter()
+            .for_each(|(_, demand)| demand.cut = shed);
+        let mut teams: Vec<&mut Demand> = teams.into_iter().map(|(_, demand)| demand).collect();
         let wanted: f64 = teams.iter().map(|d| d.mean).sum();
         let share = fair_share(&mut teams, wanted * (1.0 - shed));
         for team in teams {
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -11,6 +11,8 @@
 mod balance;
 #[path = "policy/inbound.rs"]
 mod inbound;
+#[path = "policy/level.rs"]
+mod level;
 #[path = "policy/limit.rs"]
 mod limit;
 #[path = "policy/orders.rs"]
