--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -11,6 +11,7 @@
 mod demo;
 mod diff;
 mod drain;
+mod explain;
 mod fleet;
 mod get;
 mod history;
@@ -87,6 +88,7 @@
         key::parser(),
         status::parser(),
         drain::parser(),
+        explain::parser(),
         demo::parser(),
         measure::parser(),
         platform::parser(),
--- a/src/command/node.rs
+++ b/src/command/node.rs
@@ -35,6 +35,7 @@
     log as lines,
     node::Bounds,
     server::{
+        Handle,
         Server,
         Stop, //
     },
@@ -69,7 +70,7 @@
         file: file.to_owned(),
         settings: Settings::load(file)?,
         interface: Interface::own(),
-        bounds: Bounds::default(),
+        bounds: |_| Bounds::default(),
         store: |address| Rc::new(Client::new(address, STORE_TIMEOUT)) as Rc<dyn Store>,
     })
 }
@@ -82,8 +83,8 @@
     pub(crate) settings: Settings,
     /// Its surroundings.
     pub(crate) interface: Interface,
-    /// The bounds that hold for the fleet.
-    pub(crate) bounds: Bounds,
+    /// Reads the bounds that hold for the fleet.
+    pub(crate) bounds: fn(&Settings) -> Bounds,
     /// Makes the client of the store.
     pub(crate) store: fn(SocketAddr) -> Rc<dyn Store>,
 }
@@ -102,7 +103,8 @@
     let hangup = signal(SignalKind::hangup())?;
     let store = start.settings.platform.map(start.store);
     let text = std::fs::read_to_string(&start.file).unwrap_or_default();
-    let server = Server::start_in(start.settings, store, start.interface, start.bounds).await?;
+    let bounds = (start.bounds)(&start.settings);
+    let server = Server::start_in(start.settings, store, start.interface, bounds).await?;
     log::info!(
         instance:% = server.peer().instance,
         callers:% = server.addresses().callers,
@@ -110,6 +112,12 @@
         "the node listens"
     );
     let handle = server.handle();
+    let file = File {
+        path: start.file,
+        text,
+        bounds: start.bounds,
+    };
+    actix_rt::spawn(reload(file, handle.clone(), hangup));
     actix_rt::spawn(async move {
         tokio::select! {
             _ = terminate.recv() => {}
@@ -118,7 +126,6 @@
         log::info!("told to stop; the node drains");
         handle.drain();
     });
-    actix_rt::spawn(reload(start.file, text, hangup));
     match server.wait().await {
         Stop::Clean => Ok(()),
         Stop::Cut => {
@@ -128,22 +135,32 @@
     }
 }
 
+/// The file of settings, as it was read last.
+struct File {
+    path: PathBuf,
+    text: String,
+    bounds: fn(&Settings) -> Bounds,
+}
+
 /// Looks at the settings when told to, and now and then without being told: the
-/// file may change without a signal. Addresses and limits hold for the life of
-/// a node, so a change is checked and told, and takes effect at the next start.
-async fn reload(file: PathBuf, mut text: String, mut hangup: Signal) {
+/// file may change without a signal. A file that is wrong changes nothing.
+async fn reload(mut file: File, handle: Handle, mut hangup: Signal) {
     loop {
         let _ = tokio::time::timeout(RELOAD.to_std(), hangup.recv()).await;
-        let Ok(now) = std::fs::read_to_string(&file) else {
+        let Ok(now) = std::fs::read_to_string(&file.path) else {
             continue;
         };
-        if now == text {
+        if now == file.text {
             continue;
         }
         match Settings::parse(&now) {
-            Ok(_) => log::info!("the settings have changed; they hold from the next start"),
+            Ok(settings) => {
+                let bounds = (file.bounds)(&settings);
+                let later = handle.reload(settings, bounds).join(" ");
+                log::info!(from_next_start = later; "the settings have changed");
+            }
             Err(error) => log::warn!(code = error.number(); "the settings are wrong: {error}"),
         }
-        text = now;
+        file.text = now;
     }
 }
--- a/src/connection/secret.rs
+++ b/src/connection/secret.rs
@@ -54,6 +54,15 @@
     }
 }
 
+/// In constant time, as [`Secret::is`].
+impl PartialEq for Secret {
+    fn eq(&self, other: &Self) -> bool {
+        self.is(&other.0)
+    }
+}
+
+impl Eq for Secret {}
+
 impl fmt::Debug for Secret {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("Secret")
--- a/src/process/announce.rs
+++ b/src/process/announce.rs
@@ -131,6 +131,11 @@
         }
     }
 
+    /// The time between two words of the service, from now on.
+    pub fn set_heartbeat(&mut self, heartbeat: Span) {
+        self.heartbeat = heartbeat;
+    }
+
     /// The service, once it has spoken.
     pub fn upstream(&self) -> Option<&Upstream> {
         self.upstream.as_ref()
--- a/src/process/carrier.rs
+++ b/src/process/carrier.rs
@@ -69,6 +69,7 @@
     },
     node::{
         Action,
+        Bounds,
         Core,
         Event,
         Note, //
@@ -134,7 +135,7 @@
 pub(crate) struct Carrier {
     weak: Weak<Self>,
     pub(crate) me: member::Peer,
-    settings: Settings,
+    settings: RefCell<Rc<Settings>>,
     pub(crate) interface: Interface,
     pub(crate) announcer: RefCell<Announcer>,
     /// The name that the upstream gave itself.
@@ -220,16 +221,34 @@
             told: RefCell::default(),
             changed: Notify::new(),
             woken: Notify::new(),
-            settings,
+            settings: RefCell::new(Rc::new(settings)),
         })
     }
 
-    pub(crate) fn limits(&self) -> &Limits {
-        &self.settings.limits
+    pub(crate) fn limits(&self) -> Limits {
+        self.settings.borrow().limits
     }
 
-    pub(crate) fn settings(&self) -> &Settings {
-        &self.settings
+    pub(crate) fn settings(&self) -> Rc<Settings> {
+        self.settings.borrow().clone()
+    }
+
+    /// Goes by other settings from now on. Returns the fields that have changed
+    /// and hold only from the next start on; they keep their values.
+    pub(crate) fn reload(&self, newer: Settings, bounds: Bounds) -> Vec<&'static str> {
+        let former = self.settings();
+        let lasting = former.lasting(&newer);
+        self.announcer.borrow_mut().set_heartbeat(newer.heartbeat);
+        self.core.borrow_mut().set_bounds(bounds);
+        self.settings.replace(Rc::new(Settings {
+            limits: newer.limits,
+            grace: newer.grace,
+            heartbeat: newer.heartbeat,
+            bounds: newer.bounds,
+            operators_token: newer.operators_token,
+            ..(*former).clone()
+        }));
+        lasting
     }
 
     pub(crate) fn core(&self) -> Ref<'_, Core> {
--- a/src/process/node/listed.rs
+++ b/src/process/node/listed.rs
@@ -143,6 +143,13 @@
         });
     }
 
+    /// Goes by other bounds from now on.
+    pub fn set_bounds(&mut self, bounds: Bounds) {
+        if let Some(listed) = &mut self.listed {
+            listed.bounds = bounds;
+        }
+    }
+
     /// Whether callers may be sent here.
     pub fn is_ready(&self, now: Time) -> bool {
         let Some(listed) = &self.listed else {
--- a/src/process/server.rs
+++ b/src/process/server.rs
@@ -131,7 +131,8 @@
     Cut,
 }
 
-/// Stops a node.
+/// Steers a node, while [`Server::wait`] holds it.
+#[derive(Clone)]
 pub struct Handle(Rc<Carrier>);
 
 impl Handle {
@@ -139,6 +140,13 @@
     pub fn drain(&self) {
         self.0.drain();
     }
+
+    /// Goes by other settings from now on: limits, times, bounds and the
+    /// operators' token. Returns the fields that have changed besides and hold
+    /// only from the next start on.
+    pub fn reload(&self, settings: Settings, bounds: Bounds) -> Vec<&'static str> {
+        self.0.reload(settings, bounds)
+    }
 }
 
 /// Open connections of callers, the service and operators.
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -40,7 +40,7 @@
 const SECRET_MIN: usize = 16;
 
 /// Where a node listens.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Listen {
     /// For callers.
@@ -67,7 +67,7 @@
 }
 
 /// What a node holds off before anything is authenticated.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Limits {
     /// Bytes of all headers of a request.
@@ -190,6 +190,24 @@
         Self::parse(&text).map_err(|error| error.within(name))
     }
 
+    /// The fields in which a newer file differs and that hold for the life of a
+    /// node: its identity, its sockets, and the secrets of its open links.
+    pub fn lasting(&self, newer: &Self) -> Vec<&'static str> {
+        let fields = [
+            ("instance", self.instance == newer.instance),
+            ("domain", self.domain == newer.domain),
+            ("pool", self.pool == newer.pool),
+            ("listen", self.listen == newer.listen),
+            ("upstream", self.upstream == newer.upstream),
+            ("platform", self.platform == newer.platform),
+            ("secrets", self.secrets == newer.secrets),
+            ("trust_network", self.trust_network == newer.trust_network),
+            ("seeds", self.seeds == newer.seeds),
+        ];
+        let changed = fields.into_iter().filter(|(_, same)| !same);
+        changed.map(|(field, _)| field).collect()
+    }
+
     fn check(&self) -> Result<(), (&'static str, String)> {
         let listen = &self.listen;
         if listen.links.ip().is_unspecified() {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -114,3 +114,40 @@
     let (code, said) = refused(&file("taken.jsonc", &text));
     assert_eq!(code, Some(7), "{said}");
 }
+
+/// An operator changes the limits in the file of settings, and a node of another
+/// name is written into it by mistake. Nothing took effect before the next start,
+/// and nobody said which part would. What can change does, at once and without
+/// the signal too; the rest is named.
+#[test]
+fn settings_are_taken_while_it_runs() {
+    let path = file("reloaded.jsonc", GOOD);
+    let mut child = node(&path).spawn().expect("started");
+    let pid = Pid::from_child(&child);
+    let stdout = child.stdout.take().expect("piped");
+    let mut lines = BufReader::new(stdout).lines();
+    let mut next = |message: &str| loop {
+        let line = lines.next().expect("a line").expect("text");
+        let value: serde_json::Value = serde_json::from_str(&line).expect("JSON");
+        if value["message"]
+            .as_str()
+            .is_some_and(|m| m.contains(message))
+        {
+            return value;
+        }
+    };
+    next("the node listens");
+    let limits = GOOD.replace("\"upstream\"", "\"grace\": \"3s\", \"upstream\"");
+    fs::write(&path, &limits).expect("written");
+    assert_eq!(next("the settings have changed")["from_next_start"], "");
+    let renamed = limits.replace("\"alone\"", "\"other\"");
+    fs::write(&path, renamed).expect("written");
+    kill_process(pid, Signal::HUP).expect("signalled");
+    let told = next("the settings have changed");
+    assert_eq!(told["from_next_start"], "instance");
+    fs::write(&path, "{").expect("written");
+    kill_process(pid, Signal::HUP).expect("signalled");
+    next("the settings are wrong");
+    kill_process(pid, Signal::TERM).expect("signalled");
+    assert!(child.wait().expect("ended").success());
+}
