Announcements: a last word is remembered also by a node that knew nothing before

Cause: a node was restarted (24.25 s) just as the server beside it deregistered (24.36 s): the first word that the new process heard was the server's last one. It was acknowledged and forgotten, and a heartbeat of the same server, delayed and of sequence 20, was believed at 26.62 s. Ruled out: the time for a drain, the store (no key of it is read for this), two processes at once.

The last word is kept. While it is all that is known of a service, words of the same service count only from a later life, or, where the last word names none, when they are the first of a life. The test fails without the change.

--- a/src/process/announce.rs
+++ b/src/process/announce.rs
@@ -27,6 +27,9 @@
 /// may be a few heartbeats late, and a refused connection tells sooner.
 const SILENT_HEARTBEATS: u64 = 4;
 
+/// Words of a life that only a service which has just begun sends.
+const FIRST_WORDS: u64 = 3;
+
 /// What a service says that it does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -116,6 +119,8 @@
     address: SocketAddr,
     heartbeat: Span,
     upstream: Option<Upstream>,
+    /// The last word of a service of which nothing else is known.
+    left: Option<Word>,
     heard: Time,
 }
 
@@ -127,6 +132,7 @@
             address,
             heartbeat,
             upstream: None,
+            left: None,
             heard: Time::ZERO,
         }
     }
@@ -156,7 +162,11 @@
             return Verdict::Foreign;
         }
         match &self.upstream {
-            None if word.state == State::Gone => Verdict::Old,
+            None if word.state == State::Gone => {
+                self.left = Some(word.clone());
+                Verdict::Old
+            }
+            None if self.has_left(word) => Verdict::Old,
             None => self.believe(now, word, None),
             Some(known) => {
                 let known = known.clone();
@@ -165,6 +175,23 @@
         }
     }
 
+    /// Whether a word is of a life that has left.
+    ///
+    /// Guards against a node that begins just as its service leaves: the first
+    /// word that it hears is the last one of the service, and a heartbeat that was
+    /// delayed comes after it. Believing that would send requests to a service
+    /// whose leaving was acknowledged. Where the last word names no life, only the
+    /// first words of a life are of a later one.
+    fn has_left(&self, word: &Word) -> bool {
+        let Some(left) = self.left.as_ref().filter(|l| l.upstream == word.upstream) else {
+            return false;
+        };
+        match (left.life, word.life) {
+            (Some(left), Some(life)) => life <= left,
+            _ => word.sequence.is_some_and(|place| place > FIRST_WORDS),
+        }
+    }
+
     fn compare(&mut self, now: Time, word: &Word, known: &Upstream) -> Verdict {
         let life = word.life.unwrap_or(known.life);
         if life < known.life {
--- a/tests/platform/heartbeat.rs
+++ b/tests/platform/heartbeat.rs
@@ -148,3 +148,36 @@
     let word = read(BEAT, body().to_string().as_bytes()).expect("a word");
     assert_eq!(announcer.on(Time::from_ms(1), &word), Verdict::Foreign);
 }
+
+/// A node is restarted just as its server leaves. The first word that it hears is
+/// the server's last one, which names no life, and then a heartbeat comes that was
+/// delayed. The node believed it, and requests reached the server 2.3 s after its
+/// leaving had been acknowledged.
+#[test]
+fn a_late_word_after_the_last_one_brings_nothing_back() {
+    let pool = "mill".parse().expect("a name");
+    let address = "10.128.0.9:8080".parse().expect("an address");
+    let mut announcer = Announcer::new(pool, address, Span::from_ms(1500));
+    let word = |life, place, state| Word {
+        upstream: "i-1".into(),
+        life,
+        sequence: place,
+        state,
+        pool: None,
+        address: None,
+        slots: Some(4),
+        warmup: Span::ZERO,
+    };
+    let now = Time::from_ms(1000);
+    assert_eq!(
+        announcer.on(now, &word(None, None, State::Gone)),
+        Verdict::Old
+    );
+    let late = word(Some(7), Some(20), State::Ready);
+    assert_eq!(announcer.on(now, &late), Verdict::Old);
+    assert!(!announcer.is_ready());
+    // The same server begins anew under its name.
+    let anew = word(Some(9), Some(1), State::Ready);
+    assert_eq!(announcer.on(now, &anew), Verdict::Changed);
+    assert!(announcer.is_ready());
+}
