Rates: a node whose record lapsed no longer holds back its part of every rate

Six of sixteen nodes were cut from the store for 12 s and minted nothing, as they must; the others counted them for as long as they stayed members, four seconds after their records had lapsed, so for ten seconds a third of every rate was minted by nobody, and requests within their rates were refused. Membership and minting are two questions: a record that lapsed proves that its node has not been certain of itself for two seconds.

--- a/src/process/directory.rs
+++ b/src/process/directory.rs
@@ -236,6 +236,20 @@
         self.listing.after.is_some() || !self.listing.members.is_empty()
     }
 
+    /// How many nodes may be minting rate tokens, this one included: those whose
+    /// record is in the store.
+    ///
+    /// A node whose record has lapsed has not confirmed itself for longer than
+    /// [`CONFIRMED`], so it mints nothing, although it stays a member for
+    /// [`GRACE`]. Counting it all that time would leave its part of every rate to
+    /// nobody, and refuse requests that are within it.
+    pub fn minters(&self) -> usize {
+        let listing = &self.listing;
+        let lapsed = |name: &&Instance| listing.lapsed.contains_key(*name);
+        let others = listing.members.keys().filter(|name| !lapsed(name));
+        others.filter(|name| **name != self.me.instance).count() + 1
+    }
+
     /// When it has something to do.
     pub fn due(&self) -> Time {
         let grace = self.listing.lapsed.values().min();
--- a/src/process/node/listed.rs
+++ b/src/process/node/listed.rs
@@ -243,10 +243,11 @@
         // rate for its share.
         let listing = listed.directory.is_listed();
         let certain = listing && member_for.is_some_and(|span| span >= pool::JOINING);
+        let minters = listed.directory.minters() as u32;
         let bounds = listed.bounds;
         let nodes = self.members.len().max(1);
         let banks = self.banks(nodes);
-        self.quota.share().adopt(now, nodes as u32, certain, banks);
+        self.quota.share().adopt(now, minters, certain, banks);
         let seconds = bounds.retry_window.as_secs_f64();
         let slack = bounds.retry_slack / nodes as f64;
         self.router.limit_retries(Terms {
--- a/tests/fleet/directory.rs
+++ b/tests/fleet/directory.rs
@@ -252,3 +252,23 @@
     story.answer(Purpose::Watch, gone("other"));
     assert_eq!(story.tick().1, [Change::Gone(other.instance)]);
 }
+
+/// A node is cut off from the store and its record lapses. It mints no rate tokens
+/// from then on, but was counted for four seconds more, as its requests may still
+/// be served: so long a part of every rate belonged to nobody, and requests within
+/// their rates were refused.
+#[test]
+fn a_member_whose_record_lapsed_mints_nothing() {
+    let mut story = Story::new();
+    story.register();
+    let all = [peer("me", 5), peer("one", 1), peer("two", 1)];
+    story.answer(Purpose::Watch, listing(&all));
+    assert_eq!(story.directory.minters(), 3);
+    story.tick();
+    story.answer(Purpose::Watch, gone("two"));
+    let (_, changes) = story.tick();
+    assert_eq!(changes, [], "it is still a member");
+    assert_eq!(story.directory.minters(), 2);
+    story.answer(Purpose::Watch, listing(&all));
+    assert_eq!(story.directory.minters(), 3, "it is back");
+}
