Rates: a team over its rate spends its tokens on its most important requests

Cause: with a hot team or a crowd, tokens went to whoever asked first. Now calls wait for tokens by importance; wishes carry it; a bank keeps for those above as many tokens as they asked for in the last half second, a quarter of the burst at most; and a node that was refused so leaves what it mints to them. Where no important call lacks a token nothing is kept, so the stories of calm teams hold unchanged. The lesser kinds of a team over its rate now carry the refusals.

--- a/src/process/quota/holder.rs
+++ b/src/process/quota/holder.rs
@@ -11,14 +11,18 @@
     Pool,
     Reply,
     Return,
-    bucket::MILLI, //
+    bucket::MILLI,
+    pool::Waiting, //
 };
 use crate::{
     clock::{
         Span,
         Time, //
     },
-    context::Begin,
+    context::{
+        Begin,
+        Importance, //
+    },
     id::{
         Grant,
         Incarnation,
@@ -188,12 +192,18 @@
         }
     }
 
-    /// Takes a token for one root request of the team, beside which so many
-    /// others wait for one. It pays for a request that begins within
+    /// Takes a token for one root request of the team, beside which these others
+    /// wait for one. It pays for a request that begins within
     /// [`Holder::left`].
-    pub fn take_beside(&mut self, now: Time, team: &Team, others: u32) -> Charge {
+    pub fn take_beside(
+        &mut self,
+        now: Time,
+        team: &Team,
+        importance: Importance,
+        others: Waiting,
+    ) -> Charge {
         match &mut self.pool {
-            Some(pool) => pool.take(now, team, others),
+            Some(pool) => pool.take(now, team, importance, others),
             None => self.take(now, team),
         }
     }
--- a/src/process/quota/pool.rs
+++ b/src/process/quota/pool.rs
@@ -12,6 +12,11 @@
 //! the burst; a bank keeps at most the rest, less what it lent in the last [`LOAN`], in proportion to the nodes that deposited with it just now; a
 //! loan that was not used within [`LOAN`] of asking is void. So what lies
 //! anywhere is at most the burst.
+//!
+//! While a team asks for more than its rate, its tokens go to its most important
+//! requests first. The bank keeps for them as many tokens as they asked for just
+//! now and lends the rest, and a node that was refused so leaves the tokens that
+//! it mints to more important requests and to the bank.
 
 use std::collections::{
     BTreeMap,
@@ -33,6 +38,7 @@
         Span,
         Time, //
     },
+    context::Importance,
     id::{
         Grant,
         Instance,
@@ -54,6 +60,8 @@
 /// The time between two deposits. Tokens of an idle node are missed elsewhere
 /// for this long.
 const DEPOSIT: Span = Span::from_ms(200);
+/// The same while others need them for more important requests.
+const SCARCE_DEPOSIT: Span = Span::from_ms(50);
 /// A node keeps tokens for so much of its recent demand.
 const KEPT: f64 = 0.2;
 /// It borrows when what it holds lasts no longer than this.
@@ -66,6 +74,13 @@
 const PASSED_OVER: Span = Span::from_secs(2);
 /// The time between two wishes while the bank has nothing to lend.
 const EMPTY: Span = Span::from_ms(30);
+/// Wishes of so long ago tell what more important requests will need.
+const LATELY: Span = Span::from_ms(500);
+/// The part of the burst that a bank keeps at most for more important requests.
+const RESERVED: u64 = 4;
+/// How long after the bank refused an importance in favour of a higher one the
+/// tokens minted here are kept from it too.
+const SCARCE: Span = Span::from_ms(500);
 /// How often demand is measured, and the weight of the newest measurement.
 const WINDOW: Span = Span::from_ms(200);
 const FRESH: f64 = 0.3;
@@ -97,6 +112,9 @@
         number: u64,
         /// Whole tokens.
         want: u32,
+        /// The importance of the requests that they are for.
+        #[serde(default)]
+        importance: Importance,
     },
     /// The answer.
     Lend {
@@ -106,20 +124,53 @@
         number: u64,
         /// Whole tokens; none when there are none.
         tokens: u32,
+        /// There are some, for more important requests.
+        #[serde(default)]
+        reserved: bool,
     },
 }
 
+/// Calls that wait for a token, by their importance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Waiting([u32; Importance::ALL.len()]);
+
+impl Waiting {
+    /// Adds one.
+    pub fn add(&mut self, importance: Importance) {
+        self.0[importance as usize] += 1;
+    }
+
+    /// Takes one out.
+    pub fn remove(&mut self, importance: Importance) {
+        let count = &mut self.0[importance as usize];
+        *count = count.saturating_sub(1);
+    }
+
+    /// How many of this importance wait.
+    pub fn of(&self, importance: Importance) -> u32 {
+        self.0[importance as usize]
+    }
+
+    /// Whether none waits.
+    pub fn is_empty(&self) -> bool {
+        self.0.iter().all(|count| *count == 0)
+    }
+}
+
 /// A loan that is being used.
 #[derive(Clone, Copy, Debug)]
 struct Loan {
     tokens: u32,
     end: Time,
+    /// The least importance that may use it.
+    least: Importance,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Wish {
     number: u64,
     asked: Time,
+    importance: Importance,
 }
 
 /// One team's tokens at this node.
@@ -130,11 +181,13 @@
     own: Bucket,
     loans: Vec<Loan>,
     wish: Option<Wish>,
-    /// The bank had nothing; until then it is not asked again.
-    empty: Time,
+    /// When the bank last had nothing for an importance.
+    refused: [Option<Time>; Importance::ALL.len()],
+    /// When it last kept what it had for a higher one.
+    scarce: [Option<Time>; Importance::ALL.len()],
     demand: f64,
     taken: u32,
-    waiting: u32,
+    waiting: Waiting,
     /// Whole tokens whose requests were not run. They are of use at once, or
     /// go to the bank with the next deposit.
     returned: u32,
@@ -145,7 +198,23 @@
 #[derive(Clone, Debug, Default)]
 struct Stock {
     millis: u64,
-    lent: VecDeque<(Time, u32)>,
+    lent: VecDeque<Lent>,
+}
+
+/// A wish that a bank has answered.
+#[derive(Clone, Copy, Debug)]
+struct Lent {
+    at: Time,
+    importance: Importance,
+    wanted: u32,
+    tokens: u32,
+}
+
+/// A bank's answer to a wish.
+#[derive(Clone, Copy, Debug, Default)]
+struct Loaned {
+    tokens: u32,
+    reserved: bool,
 }
 
 /// This node's part in sharing all rates, as a holder and as a bank.
@@ -235,9 +304,15 @@
         accounts.for_each(|account| account.mint(now, minting));
     }
 
-    /// Takes a token for one root request of the team, beside which so many
-    /// others wait for one here.
-    pub fn take(&mut self, now: Time, team: &Team, others: u32) -> Charge {
+    /// Takes a token for one root request of the team, beside which these others
+    /// wait for one here.
+    pub fn take(
+        &mut self,
+        now: Time,
+        team: &Team,
+        importance: Importance,
+        others: Waiting,
+    ) -> Charge {
         let Some((rate, _)) = self.limits.get(team) else {
             return Charge::Over;
         };
@@ -249,14 +324,17 @@
             return Charge::Over;
         };
         account.mint(now, minting);
-        let charge = match account.take(now) {
+        let charge = match account.take(now, importance) {
             true => {
                 account.taken += 1;
                 Charge::Taken(Grant(0))
             }
             false => Charge::Pending,
         };
-        account.waiting = others + u32::from(charge == Charge::Pending);
+        account.waiting = others;
+        if charge == Charge::Pending {
+            account.waiting.add(importance);
+        }
         self.borrow(now, team);
         charge
     }
@@ -265,7 +343,10 @@
     /// bank had nothing to lend just now.
     pub fn is_over(&self, now: Time, team: &Team) -> bool {
         let account = self.accounts.get(team);
-        account.is_none_or(|account| now < account.empty + EMPTY + REPEAT)
+        account.is_none_or(|account| {
+            let mut refused = account.refused.iter().flatten();
+            refused.any(|at| now < *at + EMPTY + EMPTY + REPEAT)
+        })
     }
 
     /// Gives a token back, as its request was not run.
@@ -292,12 +373,14 @@
                 team,
                 number,
                 want,
+                importance,
             } => {
-                let tokens = self.lend(now, &team, want);
+                let loaned = self.lend(now, &team, want, importance);
                 let answer = Message::Lend {
                     team,
                     number,
-                    tokens,
+                    tokens: loaned.tokens,
+                    reserved: loaned.reserved,
                 };
                 self.outbox.push((from, answer));
                 None
@@ -306,42 +389,36 @@
                 team,
                 number,
                 tokens,
-            } => self.lent(now, team, number, tokens),
+                reserved,
+            } => self.lent(now, team, number, Loaned { tokens, reserved }),
         }
     }
 
-    fn lent(&mut self, now: Time, team: Team, number: u64, tokens: u32) -> Option<Team> {
+    fn lent(&mut self, now: Time, team: Team, number: u64, loaned: Loaned) -> Option<Team> {
         let account = self.accounts.get_mut(&team)?;
         let wish = account.wish.filter(|wish| wish.number == number)?;
         account.wish = None;
-        if tokens == 0 {
-            account.empty = now + EMPTY;
-            return None;
-        }
-        account.loans.push(Loan {
-            tokens,
-            end: wish.asked + LOAN,
-        });
-        Some(team)
+        let lent = account.lent(now, wish, loaned);
+        lent.then_some(team)
     }
 
     /// Deposits, repeats wishes, and lists the teams whose waiting requests
     /// should try again. `waiting` tells how many of each team wait here: those
     /// that gave up must not go on borrowing tokens that nobody uses.
-    pub fn tick(&mut self, now: Time, waiting: &BTreeMap<Team, u32>) -> Vec<Team> {
+    pub fn tick(&mut self, now: Time, waiting: &BTreeMap<Team, Waiting>) -> Vec<Team> {
         self.mint(now);
         for (team, account) in &mut self.accounts {
-            account.waiting = waiting.get(team).copied().unwrap_or(0);
+            account.waiting = waiting.get(team).copied().unwrap_or_default();
         }
         let teams: Vec<_> = self.accounts.keys().cloned().collect();
         let mut again = Vec::new();
         for team in &teams {
-            let waits = self.accounts[team].waiting > 0;
+            let waits = !self.accounts[team].waiting.is_empty();
             if self.overdue(now, team) || waits {
                 self.borrow(now, team);
             }
             if let Some(account) = self.accounts.get_mut(team)
-                && account.waiting > 0
+                && !account.waiting.is_empty()
                 && account.can_take(now)
             {
                 again.push(team.clone());
@@ -349,7 +426,12 @@
         }
         let surplus = now >= self.next_deposit;
         if surplus {
-            self.next_deposit = now + DEPOSIT;
+            let mut accounts = self.accounts.values();
+            let scarce = accounts.any(|account| account.is_scarce(now, Importance::Low));
+            self.next_deposit = match scarce {
+                true => now + SCARCE_DEPOSIT,
+                false => now + DEPOSIT,
+            };
         }
         self.give_up(now, surplus);
         again
@@ -397,40 +479,37 @@
         let Some(account) = self.accounts.get_mut(team) else {
             return;
         };
-        if account.wish.is_some() || now < account.empty || !account.is_low() {
+        if account.wish.is_some() {
             return;
         }
-        let want = account.want();
-        if bank == self.me {
-            let tokens = self.lend(now, team, want);
-            self.take_loan(now, team, tokens);
+        let Some((importance, want)) = account.wants(now) else {
             return;
-        }
+        };
         self.next_number += 1;
         let number = self.next_number;
-        account.wish = Some(Wish { number, asked: now });
+        let wish = Wish {
+            number,
+            asked: now,
+            importance,
+        };
+        if bank == self.me {
+            let loaned = self.lend(now, team, want, importance);
+            if let Some(account) = self.accounts.get_mut(team) {
+                account.lent(now, wish, loaned);
+            }
+            return;
+        }
+        account.wish = Some(wish);
         let wish = Message::Borrow {
             from: self.me.clone(),
             team: team.clone(),
             number,
             want,
+            importance,
         };
         self.outbox.push((bank, wish));
     }
 
-    /// The bank is this node itself.
-    fn take_loan(&mut self, now: Time, team: &Team, tokens: u32) {
-        if let Some(account) = self.accounts.get_mut(team) {
-            match tokens {
-                0 => account.empty = now + EMPTY,
-                _ => account.loans.push(Loan {
-                    tokens,
-                    end: now + LOAN,
-                }),
-            }
-        }
-    }
-
     /// Gives the bank what is borrowed and not used, and at times the surplus.
     fn give_up(&mut self, now: Time, surplus: bool) {
         let mut tokens = Vec::new();
@@ -438,7 +517,7 @@
             account.measure(now);
             let mut millis = account.unused(now);
             if surplus {
-                millis += account.surplus();
+                millis += account.surplus(now);
             }
             if millis > 0 {
                 tokens.push((team.clone(), millis));
@@ -474,29 +553,60 @@
         stock.millis = (stock.millis + millis).min(cap.saturating_sub(outstanding));
     }
 
-    fn lend(&mut self, now: Time, team: &Team, want: u32) -> u32 {
+    fn lend(&mut self, now: Time, team: &Team, want: u32, importance: Importance) -> Loaned {
+        let Some((_, burst)) = self.limits.get(team) else {
+            return Loaned::default();
+        };
         let Some(stock) = self.stocks.get_mut(team) else {
-            return 0;
+            return Loaned::default();
         };
-        let tokens = (stock.millis / MILLI).min(u64::from(want)) as u32;
-        if tokens > 0 {
-            stock.millis -= u64::from(tokens) * MILLI;
-            stock.lent.push_back((now, tokens));
+        let whole = stock.millis / MILLI;
+        let most = u64::from(*burst) / RESERVED;
+        let reserve = stock.reserve(now, importance).min(most);
+        let tokens = whole.saturating_sub(reserve).min(u64::from(want)) as u32;
+        stock.millis -= u64::from(tokens) * MILLI;
+        stock.lent.push_back(Lent {
+            at: now,
+            importance,
+            wanted: want,
+            tokens,
+        });
+        Loaned {
+            tokens,
+            reserved: reserve > 0,
         }
-        tokens
+    }
+}
+
+impl Loan {
+    fn fits(&self, now: Time, importance: Importance) -> bool {
+        now < self.end && self.tokens > 0 && importance >= self.least
     }
 }
 
 impl Stock {
     /// Thousandths lent that may still be used.
     fn outstanding(&mut self, now: Time) -> u64 {
-        while let Some((at, _)) = self.lent.front()
-            && now.since(*at) > LOAN
+        self.forget(now);
+        let usable = self.lent.iter().filter(|lent| now.since(lent.at) <= LOAN);
+        let tokens = usable.map(|lent| u64::from(lent.tokens));
+        tokens.sum::<u64>() * MILLI
+    }
+
+    /// Whole tokens wanted for those above an importance: as many as they asked for
+    /// just now, so that nothing is kept where nodes have enough of their own.
+    fn reserve(&mut self, now: Time, importance: Importance) -> u64 {
+        self.forget(now);
+        let above = self.lent.iter().filter(|lent| lent.importance > importance);
+        above.map(|lent| u64::from(lent.wanted)).sum()
+    }
+
+    fn forget(&mut self, now: Time) {
+        while let Some(lent) = self.lent.front()
+            && now.since(lent.at) > LATELY
         {
             self.lent.pop_front();
         }
-        let tokens = self.lent.iter().map(|(_, tokens)| u64::from(*tokens));
-        tokens.sum::<u64>() * MILLI
     }
 }
 
@@ -508,10 +618,11 @@
             own: Bucket::empty(now),
             loans: Vec::new(),
             wish: None,
-            empty: Time::ZERO,
+            refused: Default::default(),
+            scarce: Default::default(),
             demand: 0.0,
             taken: 0,
-            waiting: 0,
+            waiting: Waiting::default(),
             returned: 0,
             window: now,
         }
@@ -528,18 +639,27 @@
         self.loans.retain(|loan| now < loan.end && loan.tokens > 0);
     }
 
+    /// Whether any of those that wait would get a token.
     fn can_take(&self, now: Time) -> bool {
-        let lent = self.loans.iter().any(|loan| now < loan.end);
-        lent || self.returned > 0 || self.own.tokens() > 0
-    }
-
-    fn take(&mut self, now: Time) -> bool {
-        let usable = self.loans.iter_mut().find(|loan| now < loan.end);
-        if let Some(loan) = usable.filter(|loan| loan.tokens > 0) {
+        let waiting = Importance::ALL.into_iter().rev();
+        let mut waiting = waiting.filter(|importance| self.waiting.of(*importance) > 0);
+        waiting.next().is_some_and(|first| {
+            let mut loans = self.loans.iter();
+            let own = self.returned > 0 || self.own.tokens() > 0;
+            loans.any(|loan| loan.fits(now, first)) || (own && !self.is_scarce(now, first))
+        })
+    }
+
+    fn take(&mut self, now: Time, importance: Importance) -> bool {
+        let usable = |loan: &&mut Loan| loan.fits(now, importance);
+        if let Some(loan) = self.loans.iter_mut().find(usable) {
             loan.tokens -= 1;
             self.loans.retain(|loan| loan.tokens > 0);
             return true;
         }
+        if self.is_scarce(now, importance) {
+            return false;
+        }
         if self.returned > 0 {
             self.returned -= 1;
             return true;
@@ -547,20 +667,58 @@
         self.own.take(1)
     }
 
+    /// Whether the team's tokens are short, so that those of this node are for
+    /// more important requests. Critical ones have none above them.
+    fn is_scarce(&self, now: Time, importance: Importance) -> bool {
+        let scarce = self.scarce[importance as usize];
+        scarce.is_some_and(|at| now < at + SCARCE)
+    }
+
+    /// The bank's answer to a wish; whether it lent anything.
+    fn lent(&mut self, now: Time, wish: Wish, loaned: Loaned) -> bool {
+        if loaned.tokens == 0 {
+            // What it has not for one importance it has not for a lesser one.
+            let lesser = ..=wish.importance as usize;
+            self.refused[lesser].fill(Some(now));
+            if loaned.reserved {
+                self.scarce[lesser].fill(Some(now));
+            }
+            return false;
+        }
+        self.loans.push(Loan {
+            tokens: loaned.tokens,
+            end: wish.asked + LOAN,
+            least: wish.importance,
+        });
+        true
+    }
+
     fn holds(&self) -> f64 {
         let lent: u32 = self.loans.iter().map(|loan| loan.tokens).sum();
         f64::from(lent + self.returned) + self.own.millis() as f64 / MILLI as f64
     }
 
-    /// Whether to borrow. Nothing is borrowed ahead where it would likely not be
+    /// What to borrow, and for which importance: for the most important calls that
+    /// wait, else ahead. Nothing is borrowed ahead where it would likely not be
     /// used in time.
-    fn is_low(&self) -> bool {
-        let ahead = self.demand * BORROWED >= 1.0 && self.holds() < self.demand * RESERVE;
-        self.waiting > 0 || ahead
-    }
-
-    fn want(&self) -> u32 {
-        ((self.demand * BORROWED) as u32 + self.waiting).max(1)
+    fn wants(&self, now: Time) -> Option<(Importance, u32)> {
+        let ahead = self.demand * BORROWED;
+        let asked = |importance: Importance| {
+            let refused = self.refused[importance as usize];
+            refused.is_none_or(|at| now >= at + EMPTY)
+        };
+        let waiting = Importance::ALL.into_iter().rev();
+        let mut waiting = waiting.filter(|importance| self.waiting.of(*importance) > 0);
+        if let Some(importance) = waiting.find(|importance| asked(*importance)) {
+            let more = match self.is_scarce(now, Importance::Low) {
+                true => 0,
+                false => ahead as u32,
+            };
+            return Some((importance, self.waiting.of(importance) + more));
+        }
+        let low = self.holds() < self.demand * RESERVE;
+        let likely = ahead >= 1.0 && low && self.waiting.is_empty();
+        (likely && asked(Importance::Low)).then_some((Importance::Low, ahead as u32))
     }
 
     /// Takes out what was borrowed and will hardly be used before its time is
@@ -573,8 +731,12 @@
     }
 
     /// What is not needed here in the near future, and what could not be kept.
-    fn surplus(&mut self) -> u64 {
-        let surplus = self.own.millis().saturating_sub(self.keep());
+    fn surplus(&mut self, now: Time) -> u64 {
+        let keep = match self.is_scarce(now, Importance::Low) {
+            true => 0,
+            false => self.keep(),
+        };
+        let surplus = self.own.millis().saturating_sub(keep);
         self.own.drain(surplus);
         surplus + u64::from(std::mem::take(&mut self.returned)) * MILLI
     }
--- a/src/request/ingress.rs
+++ b/src/request/ingress.rs
@@ -19,7 +19,8 @@
 
 use self::call::{
     Attempt,
-    Call, //
+    Call,
+    Line, //
 };
 use crate::{
     admission::seen::Levels,
@@ -41,7 +42,10 @@
     metric::Counts,
     outcome::Report,
     policy::Policy,
-    quota::Holder,
+    quota::{
+        Holder,
+        pool::Waiting, //
+    },
     record::{
         Claim,
         Directory, //
@@ -194,8 +198,8 @@
     calls: BTreeMap<id::Call, Call>,
     attempts: BTreeMap<id::Request, Attempt>,
     children: BTreeMap<id::Request, BTreeSet<id::Call>>,
-    /// Calls that wait for a rate token, by team, the oldest first.
-    charging: BTreeMap<id::Team, BTreeSet<id::Call>>,
+    /// Calls that wait for a rate token, by team.
+    charging: BTreeMap<id::Team, Line>,
     timers: BTreeSet<(Time, id::Call)>,
     balancer: Balancer,
     budget: Budget,
@@ -233,10 +237,10 @@
     }
 
     /// How many calls of each team wait for a rate token.
-    pub fn charging(&self) -> BTreeMap<id::Team, u32> {
+    pub fn charging(&self) -> BTreeMap<id::Team, Waiting> {
         let teams = self.charging.iter();
         teams
-            .map(|(team, calls)| (team.clone(), calls.len() as u32))
+            .map(|(team, line)| (team.clone(), line.waiting()))
             .collect()
     }
 
--- a/src/request/ingress/arrival.rs
+++ b/src/request/ingress/arrival.rs
@@ -1,7 +1,5 @@
 //! A call before its first attempt: route, key, rate, early shedding.
 
-use std::collections::BTreeSet;
-
 use rand::RngExt;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -9,6 +7,7 @@
     Action, Arrival, Origin, Router, World,
     call::{
         Call,
+        Line,
         State,
         charged, //
     },
@@ -221,14 +220,18 @@
         };
         if call.context.key.is_some() && call.context.parent.is_none() {
             let team = call.context.team.clone();
-            let others = self.waiting_beside(number, &team);
+            let importance = call.context.importance;
+            let line = self.charging.get(&team);
+            let others = line.map(|line| line.beside(importance, number));
+            let others = others.unwrap_or_default();
             let Some(call) = self.calls.get_mut(&number) else {
                 return;
             };
-            match charged(world.quota.take_beside(now, &team, others)) {
+            match charged(world.quota.take_beside(now, &team, importance, others)) {
                 Ok(Some(grant)) => call.grant = Some(grant),
                 Ok(None) if now < until => {
-                    self.charging.entry(team).or_default().insert(number);
+                    let line = self.charging.entry(team).or_default();
+                    line.insert(importance, number);
                     return self.wake(number, until);
                 }
                 Ok(None) => {
@@ -245,23 +248,15 @@
         self.first(now, number, world, out);
     }
 
-    /// Other calls of the team that wait for a token.
-    fn waiting_beside(&self, number: id::Call, team: &id::Team) -> u32 {
-        let waiting = self.charging.get(team);
-        waiting.map_or(0, |calls| {
-            calls.len() as u32 - u32::from(calls.contains(&number))
-        })
-    }
-
     /// The call waits for no token any more.
     pub(super) fn charged(&mut self, number: id::Call) {
         let Some(call) = self.calls.get(&number) else {
             return;
         };
         let team = &call.context.team;
-        if let Some(waiting) = self.charging.get_mut(team) {
-            waiting.remove(&number);
-            if waiting.is_empty() {
+        if let Some(line) = self.charging.get_mut(team) {
+            line.remove(call.context.importance, number);
+            if line.len() == 0 {
                 self.charging.remove(team);
             }
         }
@@ -282,8 +277,8 @@
         self.charge(now, number, world, out);
     }
 
-    /// Tries again for the calls of a team that wait for a token, the oldest
-    /// first, until there is none left. A crowd of one team has hundreds waiting,
+    /// Tries again for the calls of a team that wait for a token, in their order,
+    /// until there is none left. A crowd of one team has hundreds waiting,
     /// and trying them all for each few tokens would take the node's whole time.
     pub(super) fn charge_team(
         &mut self,
@@ -292,12 +287,12 @@
         world: &mut World<'_>,
         out: &mut Vec<Action>,
     ) {
-        while let Some(waiting) = self.charging.get(team)
-            && let Some(number) = waiting.first().copied()
+        while let Some(line) = self.charging.get(team)
+            && let Some(number) = line.first()
         {
-            let before = waiting.len();
+            let before = line.len();
             self.charge(now, number, world, out);
-            let after = self.charging.get(team).map_or(0, BTreeSet::len);
+            let after = self.charging.get(team).map_or(0, Line::len);
             if after >= before {
                 return;
             }
--- a/src/request/ingress/call.rs
+++ b/src/request/ingress/call.rs
@@ -1,5 +1,10 @@
 //! One call and its attempt.
 
+use std::{
+    cmp::Reverse,
+    collections::BTreeSet, //
+};
+
 use crate::{
     allowance::{
         Purse,
@@ -8,9 +13,15 @@
     balance::Mark,
     clock::Time,
     code::Code,
-    context::Context,
+    context::{
+        Context,
+        Importance, //
+    },
     id,
-    quota::Charge,
+    quota::{
+        Charge,
+        pool::Waiting, //
+    },
     record::Claim, //
 };
 
@@ -123,6 +134,54 @@
     }
 }
 
+/// Calls of one team that wait for a rate token: the most important first, and of
+/// these the oldest.
+#[derive(Clone, Debug, Default)]
+pub struct Line {
+    calls: BTreeSet<(Reverse<Importance>, id::Call)>,
+    waiting: Waiting,
+}
+
+impl Line {
+    /// Adds a call, if it is not there.
+    pub fn insert(&mut self, importance: Importance, call: id::Call) {
+        if self.calls.insert((Reverse(importance), call)) {
+            self.waiting.add(importance);
+        }
+    }
+
+    /// Takes a call out, if it is there.
+    pub fn remove(&mut self, importance: Importance, call: id::Call) {
+        if self.calls.remove(&(Reverse(importance), call)) {
+            self.waiting.remove(importance);
+        }
+    }
+
+    /// The call that gets the next token.
+    pub fn first(&self) -> Option<id::Call> {
+        self.calls.first().map(|(_, call)| *call)
+    }
+
+    /// How many wait.
+    pub fn len(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// How many of each importance wait beside this call.
+    pub fn beside(&self, importance: Importance, call: id::Call) -> Waiting {
+        let mut waiting = self.waiting;
+        if self.calls.contains(&(Reverse(importance), call)) {
+            waiting.remove(importance);
+        }
+        waiting
+    }
+
+    /// How many of each importance wait.
+    pub fn waiting(&self) -> Waiting {
+        self.waiting
+    }
+}
+
 /// What a charge leads to.
 pub fn charged(charge: Charge) -> Result<Option<id::Grant>, Code> {
     match charge {
--- a/tests/rights/pool.rs
+++ b/tests/rights/pool.rs
@@ -10,10 +10,12 @@
         Span,
         Time, //
     },
+    context::Importance,
     id,
     quota::{
         Bucket, Charge,
         pool::{
+            self,
             Message,
             Pool, //
         },
@@ -40,6 +42,7 @@
 /// A call that waits for a token.
 struct Waiting {
     team: usize,
+    importance: Importance,
     until: Time,
 }
 
@@ -56,6 +59,11 @@
     /// When a token was taken, by team.
     taken: Vec<Vec<Time>>,
     asked: Vec<u32>,
+    /// The share of the calls that are critical.
+    critical: f64,
+    /// Critical calls: how many asked, and got a token.
+    critical_asked: Vec<u32>,
+    critical_taken: Vec<u32>,
     /// What one bucket for the whole fleet, without any delay, would do.
     ideal: Vec<(Bucket, u32)>,
 }
@@ -80,6 +88,9 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             taken: vec![Vec::new(); teams.len()],
             asked: vec![0; teams.len()],
+            critical: 0.0,
+            critical_asked: vec![0; teams.len()],
+            critical_taken: vec![0; teams.len()],
             ideal: vec![(Bucket::empty(Time::from_ms(1000)), 0); teams.len()],
             names,
             teams,
@@ -127,8 +138,17 @@
             if self.rng.random_bool((rate(node, team) / 1000.0).min(1.0)) {
                 self.asked[team] += 1;
                 self.ask_ideal(team);
-                let until = self.now + PATIENCE;
-                self.call(node, Waiting { team, until });
+                let critical = self.critical > 0.0 && self.rng.random_bool(self.critical);
+                self.critical_asked[team] += u32::from(critical);
+                let call = Waiting {
+                    team,
+                    importance: match critical {
+                        true => Importance::Critical,
+                        false => Importance::Normal,
+                    },
+                    until: self.now + PATIENCE,
+                };
+                self.call(node, call);
             }
         }
         if self.now.as_ms().is_multiple_of(TICK) {
@@ -137,7 +157,8 @@
             let mut waiting = BTreeMap::new();
             for call in &self.waiting[node] {
                 let team = self.teams[call.team].name.clone();
-                *waiting.entry(team).or_default() += 1;
+                let waiting: &mut pool::Waiting = waiting.entry(team).or_default();
+                waiting.add(call.importance);
             }
             for team in self.nodes[node].tick(now, &waiting) {
                 self.again(node, &team);
@@ -154,13 +175,16 @@
     }
 
     fn call(&mut self, node: usize, call: Waiting) {
-        let others = self.waiting[node]
-            .iter()
-            .filter(|w| w.team == call.team)
-            .count();
+        let mut others = pool::Waiting::default();
+        let beside = self.waiting[node].iter().filter(|w| w.team == call.team);
+        beside.for_each(|w| others.add(w.importance));
         let team = self.teams[call.team].name.clone();
-        match self.nodes[node].take(self.now, &team, others as u32) {
-            Charge::Taken(_) => self.taken[call.team].push(self.now),
+        match self.nodes[node].take(self.now, &team, call.importance, others) {
+            Charge::Taken(_) => {
+                let critical = call.importance == Importance::Critical;
+                self.critical_taken[call.team] += u32::from(critical);
+                self.taken[call.team].push(self.now);
+            }
             _ => self.waiting[node].push(call),
         }
         self.send(node);
@@ -168,7 +192,8 @@
 
     fn again(&mut self, node: usize, team: &id::Team) {
         let of = |waiting: &mut Waiting| self.teams[waiting.team].name == *team;
-        let mine: Vec<_> = self.waiting[node].extract_if(.., of).collect();
+        let mut mine: Vec<_> = self.waiting[node].extract_if(.., of).collect();
+        mine.sort_by_key(|call| std::cmp::Reverse(call.importance));
         for call in mine {
             self.call(node, call);
         }
@@ -292,6 +317,28 @@
     }
 }
 
+/// Every team asks for three times its rate, and a fifth of the calls are critical.
+/// Tokens went to whoever came first, so that a payment was refused as often as a
+/// look at a list: a third of the critical calls were served. They fit into the
+/// rate by far and are to be served, and the rate is still used up.
+#[test]
+fn a_flood_leaves_the_rate_to_critical_calls() {
+    let mut site = Site::new(12, &TEAMS, 11);
+    site.critical = 0.2;
+    site.run(Span::from_secs(10), demand(3.0));
+    site.check();
+    for (team, (rate, _)) in TEAMS.iter().enumerate() {
+        let (asked, taken) = (site.critical_asked[team], site.critical_taken[team]);
+        let served = f64::from(taken) / f64::from(asked);
+        assert!(
+            served >= 0.95,
+            "team {team}: {served:.3} of {asked} critical"
+        );
+        let got = site.taken[team].len() as f64;
+        assert!(got >= 0.85 * *rate as f64 * 10.0, "team {team}: {got}");
+    }
+}
+
 /// The bank of all teams is killed. Its stock is lost; within a moment the
 /// nodes lend through the next one, and hardly a call is refused.
 #[test]
