Directory: changes that come together are heard of with one answer

Cause: every change of a record woke every node, which asked again at once: a restart of all was heard of one record at a time by each, n times n calls. After changes a node now asks again 200 ms later; nothing depends on hearing of a member sooner (a new one is told by its links, one that leaves refuses by itself, rates wait two seconds).

--- a/src/process/directory.rs
+++ b/src/process/directory.rs
@@ -51,6 +51,10 @@
 /// How long a question waits for changes. It bounds how long a silent
 /// connection can hide them.
 const WAIT: Span = Span::from_secs(5);
+/// The time after changes before the next question. Nodes come and go together:
+/// what changes meanwhile comes with one answer, where every node would else ask
+/// again for each single change.
+const SETTLE: Span = Span::from_ms(200);
 /// The time between two calls while the store does not answer.
 const FIRST_PAUSE: Span = Span::from_ms(50);
 const LONGEST_PAUSE: Span = Span::from_ms(800);
@@ -431,7 +435,7 @@
             }
             Answer::Changes { changes, at } => {
                 self.after = Some(at);
-                self.task.succeed(now);
+                self.task.succeed(now + SETTLE);
                 let mut news = Vec::new();
                 for change in changes {
                     match change.entry {
--- a/tests/fleet/directory.rs
+++ b/tests/fleet/directory.rs
@@ -272,3 +272,20 @@
     story.answer(Purpose::Watch, listing(&all));
     assert_eq!(story.directory.minters(), 3, "it is back");
 }
+
+/// All nodes come back at once, and each of their records woke every node by
+/// itself: the store was asked as often as there are pairs of nodes. What changes
+/// within a moment comes with one answer.
+#[test]
+fn records_that_change_together_are_heard_of_together() {
+    let mut story = Story::new();
+    story.register();
+    story.tick();
+    story.answer(Purpose::Watch, listing(&[peer("me", 5), peer("one", 1)]));
+    story.tick();
+    story.answer(Purpose::Watch, gone("one"));
+    let asks = |calls: &[(Purpose, Call)]| calls.iter().any(|(p, _)| *p == Purpose::Watch);
+    assert!(!asks(&story.tick().0), "it asked at once");
+    story.now += Span::from_ms(200);
+    assert!(asks(&story.tick().0), "it does not ask again");
+}
