Level: importances that nobody asks for are no steps on its way

Cause: the platform's routes have two of the four importances. On the way up it now begins at the least importance that is asked for; on the way down it leaves an empty one at once. The way up to a higher importance stays as long as it was, so that critical requests are shed only by a delay that lasts.

--- a/src/request/admission/level.rs
+++ b/src/request/admission/level.rs
@@ -118,6 +118,7 @@
         let gain = self.gain(state.rate * INTERVAL.as_secs_f64());
         let free = (1.0 - state.used).max(0.0);
         let step = step * (gain + (1.0 - gain) * free);
+        self.skip(step);
         self.height = (self.height + step).clamp(0.0, top);
         let band = self.height.floor();
         // A band that is shed whole shows no demand; what it wanted before is
@@ -132,6 +133,32 @@
         self.divide();
     }
 
+    /// Leaves out importances that nobody asks for, before the level moves by
+    /// `step`.
+    ///
+    /// Guards against a level that moves and changes nothing. On its way up
+    /// through importances without requests the queue times out for seconds
+    /// before anything is shed; and once it has climbed into one, the slots stand
+    /// empty until it is back. On the way up only those below every request are
+    /// left out: the step to a higher importance still needs a delay that lasts.
+    fn skip(&mut self, step: f64) {
+        let asked = |band: f64| {
+            let mut demand = self.demand.keys();
+            demand.any(|(importance, _)| f64::from(*importance as u8) == band)
+        };
+        let band = self.height.floor();
+        if step < 0.0 && !asked(band) {
+            self.height = band;
+        }
+        let lowest = self.demand.keys().map(|(importance, _)| *importance).min();
+        let lowest = lowest.map_or(0.0, |lowest| f64::from(lowest as u8));
+        if step > 0.0 {
+            self.height = self.height.max(lowest);
+        } else if self.height <= lowest {
+            self.height = 0.0;
+        }
+    }
+
     /// How many importances are shed, and which part of the next.
     pub fn height(&self) -> f64 {
         self.height
--- a/tests/policy/level.rs
+++ b/tests/policy/level.rs
@@ -56,3 +56,46 @@
         assert!((cut - shed).abs() < 0.05, "{name}: {cut} of {shed}");
     }
 }
+
+/// Ticks of a controller whose requests are of two importances, with nothing
+/// between and below them.
+fn ticks(level: &mut Controller, first: u64, count: u64, delay: Span, used: f64) {
+    for tick in first..first + count {
+        for _ in 0..10 {
+            level.passed(Importance::Normal, &team("mill"), 1);
+            level.passed(Importance::Critical, &team("mill"), 1);
+        }
+        let state = State {
+            delay,
+            used,
+            rate: 400.0,
+        };
+        let now = Time::from_ms(1000 + tick * 50);
+        level.tick(now, state, Span::from_ms(20));
+    }
+}
+
+/// A crowd comes, and no request is of the least importance. The level climbed for
+/// five seconds through that importance before the first request was shed; until
+/// then they timed out in the queue, the important ones among them.
+#[test]
+fn shedding_begins_with_the_least_that_is_asked_for() {
+    let mut level = Controller::default();
+    ticks(&mut level, 0, 10, Span::from_ms(30), 1.0);
+    assert!(level.height() > 1.02, "{}", level.height());
+}
+
+/// A crowd had pushed the level into an importance without requests. It ends, and
+/// half of the slots stood empty while the level came back through it.
+#[test]
+fn what_nobody_asks_for_does_not_hold_the_level_up() {
+    let mut level = Controller::default();
+    let mut tick = 0;
+    while level.height() < 2.6 {
+        ticks(&mut level, tick, 1, Span::from_ms(60), 1.0);
+        tick += 1;
+        assert!(tick < 1000, "{}", level.height());
+    }
+    ticks(&mut level, tick, 2, Span::ZERO, 0.5);
+    assert!(level.height() < 2.0, "{}", level.height());
+}
