Logs: the level of shedding has a field of its own

Cause: it was written as `level`, which the severity of the line replaced, so `explain` printed level "INFO" for every request that was turned away, and the summary hid which node shed.

--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -225,7 +225,7 @@
                 turned.number("running"),
                 turned.number("limit"),
                 turned.number("waiting"),
-                turned.fields.get("level").unwrap_or(&Value::Null),
+                turned.fields.get("shed_level").unwrap_or(&Value::Null),
             );
         }
         if !self.calls.is_empty() {
--- a/src/process/carrier.rs
+++ b/src/process/carrier.rs
@@ -616,7 +616,7 @@
         if !news.is_empty() {
             log::info!(
                 counts = news.join(" "), running = load.running, limit = load.limit,
-                waiting = load.waiting, level = load.level, left_out = left_out,
+                waiting = load.waiting, shed_level = load.level, left_out = left_out,
                 dropped = crate::log::dropped();
                 "summary"
             );
--- a/src/process/event.rs
+++ b/src/process/event.rs
@@ -299,7 +299,7 @@
                     id = id, request:% = attempt, from:% = peer, route:% = route,
                     importance:% = context.importance, nested = context.depth > 0,
                     code = *code as u16, reason = code.name(), running = load.running,
-                    limit = load.limit, waiting = load.waiting, level = load.level;
+                    limit = load.limit, waiting = load.waiting, shed_level = load.level;
                     "turned away"
                 );
             }
@@ -315,7 +315,7 @@
                     id = id, request:% = attempt, from:% = peer, route:% = route,
                     importance:% = context.importance, nested = context.depth > 0,
                     waited_ms = waited.as_ms(), running = load.running, limit = load.limit,
-                    waiting = load.waiting, level = load.level;
+                    waiting = load.waiting, shed_level = load.level;
                     "started"
                 );
             }
--- a/tests/event.rs
+++ b/tests/event.rs
@@ -77,13 +77,19 @@
         let sent = lines("sent");
         let sent = sent.iter().find(same).expect("the attempt");
         assert_eq!(started.iter().filter(same).count(), 1);
+        // The level of shedding is a number beside the severity of the line.
+        let started = started.iter().find(same).expect("a start");
+        assert!(started["shed_level"].is_f64(), "{started}");
+        assert_eq!(started["level"], "INFO");
         assert_eq!(sent["request"], cut["request"]);
         assert!(sent["left_ms"].is_u64() && sent["version"].is_u64());
         let wrong = ("x-bluebellswitch-key", "mill-1.open-season");
         let _ = caller.send("GET", "/a", &[wrong], "").await;
         let refused = lines("refused");
         let refused = refused.iter().find(|line| line["code"] == 1003);
-        assert_eq!(refused.expect("a line")["reason"], "KeyUnknown");
+        let refused = refused.expect("a line");
+        assert_eq!(refused["reason"], "KeyUnknown");
+        assert_eq!(refused["come_back_ms"], -1, "coming back is of no use");
     });
 }
 
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -19,8 +19,8 @@
 "#;
 const MILL: &str = r#"
 {"time_ms":900,"message":"a member is gone","peer":"mill-2","level":"INFO","target":"t"}
-{"time_ms":1205,"message":"turned away","id":"c0ffee","request":"7-1","from":"front-1","route":"view","importance":"normal","nested":false,"code":2006,"reason":"QueueTimeout","running":29,"limit":29,"waiting":41,"level":1.5,"level_name":"x","target":"t"}
-{"time_ms":1402,"message":"started","id":"f00d","request":"7-2","from":"front-1","route":"view","importance":"normal","nested":false,"waited_ms":2,"running":3,"limit":29,"waiting":0,"level":0.0,"target":"t"}
+{"time_ms":1205,"message":"turned away","id":"c0ffee","request":"7-1","from":"front-1","route":"view","importance":"normal","nested":false,"code":2006,"reason":"QueueTimeout","running":29,"limit":29,"waiting":41,"shed_level":1.5,"level":"INFO","target":"t"}
+{"time_ms":1402,"message":"started","id":"f00d","request":"7-2","from":"front-1","route":"view","importance":"normal","nested":false,"waited_ms":2,"running":3,"limit":29,"waiting":0,"shed_level":0.0,"level":"INFO","target":"t"}
 {"time_ms":1800,"message":"refused","id":"ca11","code":2003,"reason":"Shed","may_have_run":false,"waited_ms":1,"attempts":1,"version":3,"version_age_ms":50,"path":"/read/1","level":"INFO","target":"t"}
 {"time_ms":1890,"message":"ended","id":"f00d","request":"7-2","route":"view","end":"Answered(500)","took_ms":488,"level":"INFO","target":"t"}
 "#;
