Callers' connections keep two kilobytes free in place of sixteen

Cause: in a crowd a node holds a thousand connections, each with 16 KiB of room for its next head; that was most of its memory. Bodies are still read in large parts.

--- a/src/connection/door.rs
+++ b/src/connection/door.rs
@@ -84,8 +84,11 @@
 
 /// Requests of one connection that run side by side; reading stops there.
 const PIPELINE: usize = 16;
-/// Bytes read at once.
-const READ: usize = 16 << 10;
+/// Bytes read at once, and kept free on each connection: of a body, and else. Most
+/// heads are shorter, and in a crowd the room of a thousand idle connections
+/// would be most of a node's memory.
+const READ_BODY: usize = 16 << 10;
+const READ: usize = 2 << 10;
 /// Bytes of an answer that are written at once.
 const WRITE: usize = 64 << 10;
 /// Time for a caller to take the last answer of a connection that closes.
@@ -256,7 +259,7 @@
         }
         let until = deadline(shared, begun, incoming.is_some());
         let wait = until.map(|until| Clock.now().until(until).to_std());
-        input.reserve(READ);
+        input.reserve(if incoming.is_some() { READ_BODY } else { READ });
         tokio::select! {
             count = reader.read_buf(&mut input) => match count {
                 Ok(1..) => {}
