Teams: a team's priority goes before the importance of routes

The platform's configuration gives tenants a priority that goes before the route's; the adapter did not read it.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -74,7 +74,8 @@
         outcome,
         policy,
         record,
-        retry, //
+        retry,
+        standing, //
     },
     version::{
         adoption,
--- a/src/request/ingress.rs
+++ b/src/request/ingress.rs
@@ -54,6 +54,7 @@
         Budget,
         Terms, //
     },
+    standing,
 };
 
 /// Who makes a call.
@@ -204,6 +205,7 @@
     balancer: Balancer,
     budget: Budget,
     typical: BTreeMap<id::Route, f64>,
+    order: standing::Order,
     looked: Time,
 }
 
@@ -222,6 +224,7 @@
             balancer: Balancer::new(own),
             budget: Budget::default(),
             typical: BTreeMap::new(),
+            order: standing::Order::default(),
             looked: Time::ZERO,
         }
     }
--- a/tests/platform/config.rs
+++ b/tests/platform/config.rs
@@ -6,7 +6,10 @@
     context::Importance,
     document::Snapshot,
     id::Version,
-    platform::config, //
+    platform::{
+        bounds,
+        config, //
+    },
 };
 use serde_json::{
     Value,
@@ -128,6 +131,26 @@
     odd_type => (|rows| rows[4]["spec"]["max_body_bytes"] = "much".into(), "limits"),
 }
 
+/// A tenant's priority went unread, so that no tenant went before another.
+#[test]
+fn a_tenant_has_its_priority() {
+    let snapshot = read(&document());
+    assert_eq!(snapshot.teams.teams[0].priority, 1);
+}
+
+/// The store goes silent just after it had answered. Requests are owed for three
+/// fifths of the bound from then on, and the last answer was to a question a
+/// second and a half old: with a bound that is used to four fifths they were
+/// refused for half a second while they were owed.
+#[test]
+fn keys_are_taken_for_as_long_as_they_are_owed() {
+    let bounds = [("revoke_ms".to_owned(), json!(5000))];
+    let bounds = bounds::read(&bounds.into());
+    let question = Span::from_ms(1500);
+    assert!(bounds.stale >= Span::from_ms(3000) + question);
+    assert!(bounds.stale < Span::from_ms(5000));
+}
+
 #[test]
 fn the_configuration_of_the_path_tests_is_one() {
     read(&crate::site::configuration(3));
