Teams: priorities are not read again; four importances have no room for them

Cause: Kandy's teams have different priorities, which the examples did not show. With three importances of routes in use, every team but the first fell into the least one, and bookings and uploads were shed like look-ups.

--- a/src/command/demo/site.rs
+++ b/src/command/demo/site.rs
@@ -187,7 +187,6 @@
                 rate: Rate::per_second(customer.rate),
                 burst: customer.burst,
                 weight: Weight(customer.weight),
-                priority: 0,
             };
             let edit: Edit = Box::new(move |document| {
                 document.teams.teams.push(record.clone());
--- a/src/command/fleet.rs
+++ b/src/command/fleet.rs
@@ -252,7 +252,6 @@
         rate: Rate::per_second(2000),
         burst: 4000,
         weight: Weight(1),
-        priority: 0,
     });
     let keys = (0..TEAMS * KEYS).map(|n| {
         let (key, team) = (format!("key-{n}"), format!("team-{}", n % TEAMS));
--- a/src/command/team.rs
+++ b/src/command/team.rs
@@ -48,7 +48,6 @@
     rate: Option<Rate>,
     burst: Option<u32>,
     weight: Option<u32>,
-    priority: Option<u32>,
 }
 
 fn set() -> Subcommand {
@@ -65,15 +64,10 @@
         .help("The share under overload, relative to other teams; 1 for a new team")
         .argument::<u32>("NUMBER")
         .optional();
-    let priority = long("priority")
-        .help("Goes before the importance of routes; 0, the highest, for a new team")
-        .argument::<u32>("NUMBER")
-        .optional();
     let change = construct!(Change {
         rate,
         burst,
-        weight,
-        priority
+        weight
     });
     let name = positional::<id::Team>("TEAM").help("The team's name");
     construct!(manner, change, name)
@@ -97,7 +91,6 @@
             team.rate = self.rate.unwrap_or(team.rate);
             team.burst = self.burst.unwrap_or(team.burst);
             team.weight = self.weight.map_or(team.weight, Weight);
-            team.priority = self.priority.unwrap_or(team.priority);
             return Ok(());
         }
         let (Some(rate), Some(burst)) = (self.rate, self.burst) else {
@@ -109,7 +102,6 @@
             rate,
             burst,
             weight: self.weight.map_or_else(Weight::default, Weight),
-            priority: self.priority.unwrap_or(0),
         });
         Ok(())
     }
@@ -161,7 +153,7 @@
             .map(|team| {
                 json!({
                     "name": team.name, "rate": team.rate, "burst": team.burst,
-                    "weight": team.weight, "priority": team.priority, "keys": keys(team),
+                    "weight": team.weight, "keys": keys(team),
                 })
             })
             .collect();
@@ -169,17 +161,16 @@
         return Ok(());
     }
     println!(
-        "{:<24} {:>10} {:>8} {:>6} {:>8} {:>5}",
-        "team", "rate", "burst", "weight", "priority", "keys"
+        "{:<24} {:>10} {:>8} {:>6} {:>5}",
+        "team", "rate", "burst", "weight", "keys"
     );
     for team in &teams.teams {
         println!(
-            "{:<24} {:>10} {:>8} {:>6} {:>8} {:>5}",
+            "{:<24} {:>10} {:>8} {:>6} {:>5}",
             team.name,
             team.rate.to_string(),
             team.burst,
             team.weight.0,
-            team.priority,
             keys(team)
         );
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -74,8 +74,7 @@
         outcome,
         policy,
         record,
-        retry,
-        standing, //
+        retry, //
     },
     version::{
         adoption,
--- a/src/request/ingress.rs
+++ b/src/request/ingress.rs
@@ -54,7 +54,6 @@
         Budget,
         Terms, //
     },
-    standing,
 };
 
 /// Who makes a call.
@@ -205,7 +204,6 @@
     balancer: Balancer,
     budget: Budget,
     typical: BTreeMap<id::Route, f64>,
-    order: standing::Order,
     looked: Time,
 }
 
@@ -224,7 +222,6 @@
             balancer: Balancer::new(own),
             budget: Budget::default(),
             typical: BTreeMap::new(),
-            order: standing::Order::default(),
             looked: Time::ZERO,
         }
     }
--- a/src/request/ingress/arrival.rs
+++ b/src/request/ingress/arrival.rs
@@ -65,7 +65,6 @@
         if tables.routes.is_empty() {
             return Err(Code::ConfigAbsent);
         }
-        self.order.read(world.snapshot);
         let route = tables.route(&arrival.host, &arrival.method, &arrival.path);
         let route = match (route, arrival.stale) {
             (Some(route), _) => route,
@@ -151,7 +150,7 @@
         Ok(Context {
             team: key.team.clone(),
             key: Some(key.name.clone()),
-            importance: self.order.importance(&key.team, route.importance),
+            importance: route.importance,
             ..self.context(call, route, world)
         })
     }
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -13,4 +13,3 @@
 pub mod policy;
 pub mod record;
 pub mod retry;
-pub mod standing;
--- a/src/version/team.rs
+++ b/src/version/team.rs
@@ -42,10 +42,6 @@
     /// The share under overload, relative to other teams.
     #[serde(default)]
     pub weight: Weight,
-    /// Its place before the importance of routes: under overload a team of a
-    /// higher number is shed before all teams of lower ones.
-    #[serde(default)]
-    pub priority: u32,
 }
 
 /// A key as it is stored.
