Rates: three token servers a team in place of shares with a bank

Cause: every node minted rate / N and lent the rest through a bank for each forty nodes, between which nothing passed.

Now three nodes a team, the first three of the store's records by rendezvous hashing, each have the right to a third of its rate; the later ones leave their parts to the first while the team is asked for, a second at a time.

The right to mint needs a view of the records younger than three seconds, which the listing did not give: its wait falls to 1.5 s (dear in calls until the control plane changes). The renewal of a lease counts from its answer, not from its question.

The story of the bank (tests/rights/pool.rs) goes with it; its promises are held by tests/rights/bank.rs over the same measure that the command prints, at 12, 70 and 195 nodes, with loss, kills, pauses and cuts.

--- a/src/command/measure.rs
+++ b/src/command/measure.rs
@@ -8,7 +8,8 @@
     latency,
     one_of,
     policy,
-    quota, //
+    quota,
+    rates, //
 };
 
 /// Every measurement; each has a file of its own.
@@ -18,6 +19,7 @@
         latency::parser(),
         policy::parser(),
         quota::parser(),
+        rates::parser(),
     ]
 }
 
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -29,6 +29,7 @@
 mod team;
 
 pub mod quota;
+mod rates;
 
 use std::process::ExitCode;
 
--- a/src/connection/message.rs
+++ b/src/connection/message.rs
@@ -33,8 +33,8 @@
     Lease(lease::Message),
     /// Rates.
     Quota(quota::Message),
-    /// Rates without an owner.
-    Pool(quota::pool::Message),
+    /// Tokens of token servers.
+    Bank(quota::bank::Message),
     /// Records of idempotent requests.
     Record(record::Message),
 }
--- a/src/process/directory.rs
+++ b/src/process/directory.rs
@@ -27,6 +27,7 @@
         Peer,
         Status, //
     },
+    quota::bank,
     store::{
         Answer,
         Call,
@@ -50,7 +51,7 @@
 const GRACE: Span = Span::from_secs(4);
 /// How long a question waits for changes. It bounds how long a silent
 /// connection can hide them.
-const WAIT: Span = Span::from_secs(5);
+const WAIT: Span = Span::from_ms(1500);
 /// The time after changes before the next question. Nodes come and go together:
 /// what changes meanwhile comes with one answer, where every node would else ask
 /// again for each single change.
@@ -157,6 +158,11 @@
     after: Option<Revision>,
     members: BTreeMap<Instance, Peer>,
     lapsed: BTreeMap<Instance, Time>,
+    /// When the question was sent whose answer last showed that a newcomer had no
+    /// record yet.
+    joined: BTreeMap<Instance, Time>,
+    /// When the newest question was sent that was answered.
+    viewed: Option<Time>,
     /// Members whose record was overwritten by one of an earlier life.
     overwritten: Vec<Instance>,
 }
@@ -189,6 +195,8 @@
                 after: None,
                 members: BTreeMap::new(),
                 lapsed: BTreeMap::new(),
+                joined: BTreeMap::new(),
+                viewed: None,
                 overwritten: Vec::new(),
             },
             leaving: false,
@@ -240,18 +248,52 @@
         self.listing.after.is_some() || !self.listing.members.is_empty()
     }
 
-    /// How many nodes may be minting rate tokens, this one included: those whose
-    /// record is in the store.
+    /// Until when this node may mint tokens of rates: while its record and its view
+    /// of all others are certain. In the past when it may not.
+    pub fn minting_until(&self, now: Time) -> Time {
+        let joined = self
+            .member_for(now)
+            .is_some_and(|span| span >= bank::JOINING);
+        match (self.registration.confirmed, self.listing.viewed) {
+            (Some(confirmed), Some(viewed)) if joined => {
+                // Until a newcomer that is not counted yet may begin to mint.
+                let newcomers = self.newcomers(now).map(|at| at + bank::JOINING);
+                let until = (confirmed + CONFIRMED).min(viewed + bank::FRESH);
+                newcomers.fold(until, Time::min)
+            }
+            _ => Time::ZERO,
+        }
+    }
+
+    /// When those began that are not counted yet.
+    fn newcomers(&self, now: Time) -> impl Iterator<Item = Time> {
+        let joined = self.listing.joined.values().copied();
+        joined.filter(move |at| now < *at + bank::FRESH)
+    }
+
+    /// The nodes among which token servers are chosen, by name: those whose record
+    /// is in the store, and has been for so long that they may mint.
     ///
-    /// A node whose record has lapsed has not confirmed itself for longer than
-    /// [`CONFIRMED`], so it mints nothing, although it stays a member for
-    /// [`GRACE`]. Counting it all that time would leave its part of every rate to
-    /// nobody, and refuse requests that are within it.
-    pub fn minters(&self) -> usize {
+    /// A newcomer does not mint before [`bank::JOINING`]; taking it for a server
+    /// earlier would leave its part of each rate to nobody. A node whose record has
+    /// lapsed mints nothing, although it stays a member for [`GRACE`].
+    pub fn counted(&self, now: Time) -> Vec<&Peer> {
         let listing = &self.listing;
-        let lapsed = |name: &&Instance| listing.lapsed.contains_key(*name);
-        let others = listing.members.keys().filter(|name| !lapsed(name));
-        others.filter(|name| **name != self.me.instance).count() + 1
+        let me = &self.me.instance;
+        let joined = self
+            .member_for(now)
+            .is_some_and(|span| span >= bank::JOINING);
+        let is_counted = |name: &Instance| match name == me {
+            true => joined,
+            false => {
+                let joined = listing.joined.get(name);
+                let is_new = joined.is_some_and(|at| now < *at + bank::FRESH);
+                !is_new && !listing.lapsed.contains_key(name)
+            }
+        };
+        let members = listing.members.iter();
+        let counted = members.filter(|(name, _)| is_counted(name));
+        counted.map(|(_, peer)| peer).collect()
     }
 
     /// When it has something to do.
@@ -355,6 +397,7 @@
                 self.task.succeed(now);
             }
             Answer::Leased { .. } => {
+                self.counted.get_or_insert(Counted::Since(now));
                 self.confirm(sent);
                 self.task.succeed(sent + RENEWAL);
             }
@@ -365,6 +408,7 @@
                     self.counted = Some(Counted::Always);
                 }
                 self.written = writing;
+                self.counted.get_or_insert(Counted::Since(now));
                 self.confirm(sent);
                 self.task.succeed(sent + RENEWAL);
             }
@@ -401,7 +445,6 @@
 
     fn confirm(&mut self, sent: Time) {
         self.confirmed = self.confirmed.max(Some(sent));
-        self.counted.get_or_insert(Counted::Since(sent));
     }
 }
 
@@ -421,6 +464,7 @@
     fn answer(&mut self, now: Time, answer: Answer) -> Vec<Change> {
         match answer {
             Answer::Listing { entries, at } => {
+                let former = self.viewed.replace(self.task.sent);
                 self.after = Some(at);
                 self.task.succeed(now);
                 let there: Vec<_> = entries
@@ -430,10 +474,11 @@
                 self.absent(now, &there);
                 there
                     .into_iter()
-                    .filter_map(|peer| self.put(peer))
+                    .filter_map(|peer| self.put(peer, former))
                     .collect()
             }
             Answer::Changes { changes, at } => {
+                let former = self.viewed.replace(self.task.sent);
                 self.after = Some(at);
                 self.task.succeed(now + SETTLE);
                 let mut news = Vec::new();
@@ -441,7 +486,7 @@
                     match change.entry {
                         Some(entry) => {
                             let peer = peer(&entry.key, &entry.value);
-                            news.extend(peer.and_then(|peer| self.put(peer)));
+                            news.extend(peer.and_then(|peer| self.put(peer, former)));
                         }
                         None => self.lapse(now, &change.key),
                     }
@@ -486,12 +531,16 @@
 
     /// A record is news unless it is of an earlier life: a lost write may take
     /// effect after its node was replaced.
-    fn put(&mut self, peer: Peer) -> Option<Change> {
+    fn put(&mut self, peer: Peer, former: Option<Time>) -> Option<Change> {
         let known = self.members.get(&peer.instance);
         if known.is_some_and(|known| known.incarnation > peer.incarnation) {
             self.overwritten.push(peer.instance);
             return None;
         }
+        let is_new = known.is_none() || self.lapsed.contains_key(&peer.instance);
+        if is_new && let Some(former) = former {
+            self.joined.insert(peer.instance.clone(), former);
+        }
         self.lapsed.remove(&peer.instance);
         if known == Some(&peer) {
             return None;
@@ -517,6 +566,7 @@
         gone.into_iter()
             .map(|name| {
                 self.lapsed.remove(&name);
+                self.joined.remove(&name);
                 self.members.remove(&name);
                 Change::Gone(name)
             })
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -528,7 +528,7 @@
             (Message::Adoption(message), _) => self.adoption(now, message, out),
             (Message::Lease(message), _) => self.lease(now, message, out),
             (Message::Quota(message), _) => self.quota(now, message, out),
-            (Message::Pool(message), _) => self.shared(now, message, out),
+            (Message::Bank(message), _) => self.tokens(now, message, out),
             (Message::Record(message), _) => self.record(now, message, out),
         }
     }
@@ -571,7 +571,7 @@
         self.router.on(now, event, &mut world, &mut actions);
         out.extend(actions.into_iter().map(Action::from));
         match self.listed.is_some() {
-            true => self.share_send(out),
+            true => self.send_tokens(out),
             false => self.rights_send(now, out),
         }
     }
--- a/src/process/node/listed.rs
+++ b/src/process/node/listed.rs
@@ -25,20 +25,21 @@
         News, //
     },
     id::{
-        Incarnation,
         Instance,
         Version, //
     },
     ingress,
     interface::Source,
     member::{
-        self,
         Peer,
         Status, //
     },
     message::Message,
     metric::Counter,
-    quota::pool,
+    quota::{
+        Bank,
+        bank, //
+    },
     retry::Terms,
     store, //
 };
@@ -53,12 +54,6 @@
 /// The time between two tries to reach a member again, at first and at most.
 const REDIAL: Span = Span::from_ms(200);
 const LONGEST_REDIAL: Span = Span::from_secs(2);
-/// Banks in the order of choice.
-const BANKS: usize = 4;
-/// Nodes that one bank serves; with more there are several banks.
-const CLIENTS: usize = 40;
-/// Purpose of the choice of banks.
-const BANK: u64 = 0xba4c;
 
 /// Bounds that the fleet's operators set for all nodes together.
 #[derive(Clone, Copy, Debug)]
@@ -128,8 +123,7 @@
     /// Finds members and configuration in the store, from the beginning of the
     /// node on, and shares rates without owners.
     pub fn list(&mut self, source: Source, bounds: Bounds) {
-        let pool = self.quota.share();
-        pool.adopt(Time::ZERO, 1, false, Vec::new());
+        self.quota.lend(Bank::new(self.identity.peer.clone()));
         self.listed = Some(Listed {
             bounds,
             directory: Directory::new(self.identity.peer.clone()),
@@ -224,7 +218,7 @@
         if refresh {
             self.refresh(now, out);
         }
-        self.share_tick(now, out);
+        self.tokens_tick(now, out);
     }
 
     /// What follows from members and time.
@@ -238,16 +232,12 @@
             listed.stale = stale;
             out.push(Action::Note(Note::Store { stale, age }));
         }
-        let member_for = listed.directory.member_for(now);
-        // Before the others were listed once this node would take all of each
-        // rate for its share.
-        let listing = listed.directory.is_listed();
-        let certain = listing && member_for.is_some_and(|span| span >= pool::JOINING);
-        let minters = listed.directory.minters() as u32;
         let bounds = listed.bounds;
+        if let Some(bank) = self.quota.bank() {
+            let until = listed.directory.minting_until(now);
+            bank.adopt(now, until, &listed.directory.counted(now));
+        }
         let nodes = self.members.len().max(1);
-        let banks = self.banks(nodes);
-        self.quota.share().adopt(now, minters, certain, banks);
         let seconds = bounds.retry_window.as_secs_f64();
         let slack = bounds.retry_slack / nodes as f64;
         self.router.limit_retries(Terms {
@@ -259,42 +249,34 @@
         });
     }
 
-    /// The banks of this node's group of teams, best first.
-    fn banks(&self, nodes: usize) -> Vec<Instance> {
-        let there = |peer: &&Peer| peer.status == Status::Alive;
-        let groups = nodes.div_ceil(CLIENTS) as u64;
-        let group = u64::from(member::tag(&self.identity.peer.instance, Incarnation(0))) % groups;
-        let members = self.members.iter().filter(there);
-        let best = member::ranked(members, BANK + group, BANKS);
-        best.into_iter().map(|peer| peer.instance.clone()).collect()
-    }
-
-    fn share_tick(&mut self, now: Time, out: &mut Vec<Action>) {
+    fn tokens_tick(&mut self, now: Time, out: &mut Vec<Action>) {
         let waiting = self.router.charging();
-        let again = self.quota.share().tick(now, &waiting);
-        for team in again {
+        let Some(bank) = self.quota.bank() else {
+            return;
+        };
+        for team in bank.tick(now, &waiting) {
             self.ingress(now, ingress::Event::Quota(team), out);
         }
-        self.share_send(out);
+        self.send_tokens(out);
     }
 
-    pub(super) fn share_send(&mut self, out: &mut Vec<Action>) {
-        let Some(pool) = self.quota.pool() else {
+    pub(super) fn send_tokens(&mut self, out: &mut Vec<Action>) {
+        let Some(bank) = self.quota.bank() else {
             return;
         };
-        for (to, message) in pool.outbox() {
-            self.tell(&to, Message::Pool(message), out);
+        for (to, message) in bank.outbox() {
+            self.tell(&to, Message::Bank(message), out);
         }
     }
 
-    pub(super) fn shared(&mut self, now: Time, message: pool::Message, out: &mut Vec<Action>) {
-        let Some(pool) = self.quota.pool() else {
+    pub(super) fn tokens(&mut self, now: Time, message: bank::Message, out: &mut Vec<Action>) {
+        let Some(bank) = self.quota.bank() else {
             return;
         };
-        if let Some(team) = pool.on(now, message) {
+        if let Some(team) = bank.on(now, message) {
             self.ingress(now, ingress::Event::Quota(team), out);
         }
-        self.share_send(out);
+        self.send_tokens(out);
     }
 
     pub(super) fn listed_store(
@@ -316,7 +298,9 @@
                 News::Nothing => {}
                 News::Newer(snapshot) => {
                     out.push(Action::Note(Note::Adopted(snapshot.version)));
-                    self.quota.share().teams(now, &snapshot.teams.teams);
+                    if let Some(bank) = self.quota.bank() {
+                        bank.teams(now, &snapshot.teams.teams);
+                    }
                     self.adopt((*snapshot).into());
                 }
                 News::Unusable(error) => {
--- a/src/process/quota.rs
+++ b/src/process/quota.rs
@@ -6,10 +6,10 @@
 //! that begins before its grant ends. docs/design/quota.md argues why no window
 //! of time can therefore see more than rate and burst.
 
+pub mod bank;
 mod bucket;
 mod holder;
 mod owner;
-pub mod pool;
 
 use serde::{
     Deserialize,
@@ -17,13 +17,13 @@
 };
 
 pub use self::{
+    bank::Bank,
     bucket::Bucket,
     holder::{
         Holder,
         Mode, //
     },
-    owner::Owner,
-    pool::Pool, //
+    owner::Owner, //
 };
 use crate::{
     clock::Span,
--- /dev/null
+++ b/src/process/quota/bank.rs
@@ -0,0 +1,394 @@
+//! Rates over the whole fleet, without owners and without calls to the store.
+//!
+//! Every team has three token servers, the first three of the nodes that the store
+//! lists, by rendezvous hashing. Each has the right to mint a third of the rate
+//! into a bucket of a third of the burst. While a team is asked for, later servers
+//! leave their parts to the first one, for a second at a time: tokens in one bucket
+//! are worth more than the same tokens in three. When the first server dies the
+//! second one mints its own part and that of the third. A node that has a request
+//! of the team borrows a token from the first server, or else from the next.
+//!
+//! # Why no window of time sees more than rate and burst
+//!
+//! A node mints only while its own record in the store is confirmed, has been
+//! there for [`JOINING`], and its view of all records is younger than [`FRESH`].
+//! So at any moment the nodes that mint for a team have all been listed for
+//! longer than any of their views is old, and each of them sees all the others.
+//! The last of them in the order of choice sees the others before itself, and
+//! mints only if it is among the first three: they are three at most.
+//!
+//! A part that is given away is given for no longer than the right to it lasts,
+//! counted by the earlier server from when it asked, by the later one from when it
+//! answered, and only when nothing lent out of it may still be used. A server whose
+//! place changes drops what it was given.
+//!
+//! What is lent counts against the bucket of its server for the life that the
+//! wish named, from when it was lent, and is void for its borrower when that time
+//! has passed since it asked. So tokens that can still be used are at most the
+//! burst, and those minted in a window are at most the rate times its length. A
+//! server whose right has ended drops what it holds; its successor begins with
+//! nothing. Only tokens that are given back count later: those of requests that
+//! were not run, and a fraction of a token on its way from one server to the other.
+
+mod account;
+mod message;
+mod mint;
+mod placement;
+
+use std::collections::BTreeMap;
+
+use self::{
+    account::Account,
+    mint::{
+        Mint,
+        Share, //
+    },
+    placement::Placement,
+};
+pub use self::{
+    account::Waiting,
+    message::{
+        Delegated,
+        Lent,
+        Message,
+        Wish, //
+    },
+};
+use super::{
+    Charge,
+    bucket::MILLI, //
+};
+use crate::{
+    clock::{
+        Span,
+        Time, //
+    },
+    context::Importance,
+    id::{
+        Grant,
+        Instance,
+        Team, //
+    },
+    member::Peer,
+    team,
+    unit::Rate, //
+};
+
+/// How old the view of the listed nodes may be for a node that mints.
+pub const FRESH: Span = Span::from_secs(3);
+/// How long a node must have been listed before it mints.
+pub const JOINING: Span = Span::from_ms(3500);
+/// A server that left so many wishes in a row unanswered is passed over, and for
+/// how long. A single message may be lost.
+const SILENT_AFTER: u32 = 2;
+const PASSED_OVER: Span = Span::from_secs(2);
+/// How long a part is given to an earlier server. One that dies is missed for this
+/// long, until the others mint their own parts again.
+const DELEGATION: Span = Span::from_ms(1000);
+/// Time after which a team without demand is forgotten.
+const IDLE: Span = Span::from_secs(30);
+
+/// Wishes that a server left unanswered since its last answer.
+#[derive(Clone, Copy, Debug)]
+struct Silence {
+    wishes: u32,
+    last: Time,
+}
+
+impl Silence {
+    fn is_passed_over(self, now: Time) -> bool {
+        self.wishes >= SILENT_AFTER && now.since(self.last) < PASSED_OVER
+    }
+}
+
+/// This node's part in sharing all rates, as a borrower and as a server.
+#[derive(Clone, Debug)]
+pub struct Bank {
+    me: Peer,
+    limits: BTreeMap<Team, (Rate, u32)>,
+    placement: Placement,
+    mint: Mint,
+    accounts: BTreeMap<Team, Account>,
+    silent: BTreeMap<Instance, Silence>,
+    /// When open questions for parts were sent.
+    asked_parts: BTreeMap<u64, Time>,
+    next_number: u64,
+    outbox: Vec<(Instance, Message)>,
+}
+
+impl Bank {
+    /// A bank without teams and servers.
+    pub fn new(me: Peer) -> Self {
+        // No number of an earlier life is used again: its answers may still come.
+        let next_number = me.incarnation.0;
+        Self {
+            me,
+            limits: BTreeMap::new(),
+            placement: Placement::default(),
+            mint: Mint::default(),
+            accounts: BTreeMap::new(),
+            silent: BTreeMap::new(),
+            asked_parts: BTreeMap::new(),
+            next_number,
+            outbox: Vec::new(),
+        }
+    }
+
+    /// Learns the teams.
+    pub fn teams(&mut self, now: Time, teams: &[team::Team]) {
+        self.limits = teams
+            .iter()
+            .map(|team| (team.name.clone(), (team.rate, team.burst)))
+            .collect();
+        let limits = &self.limits;
+        self.accounts.retain(|team, _| limits.contains_key(team));
+        self.place(now);
+    }
+
+    /// Learns until when this node may mint, and among which nodes the servers
+    /// are chosen.
+    pub fn adopt(&mut self, now: Time, until: Time, nodes: &[&Peer]) {
+        self.mint.extend(now, until);
+        if !self.placement.has(nodes) {
+            self.placement.adopt(nodes);
+            self.place(now);
+        }
+    }
+
+    /// Finds the servers of all teams.
+    fn place(&mut self, now: Time) {
+        let me = &self.me.instance;
+        let mut shares = BTreeMap::new();
+        for (team, (rate, burst)) in &self.limits {
+            let servers = self.placement.servers(team);
+            if let Some(place) = servers.iter().position(|server| server == me) {
+                let share = Share {
+                    place,
+                    later: servers[place + 1..].to_vec(),
+                    rate: *rate,
+                    burst: u64::from(*burst) * MILLI,
+                };
+                shares.insert(team.clone(), share);
+            }
+            if let Some(account) = self.accounts.get_mut(team) {
+                account.place(servers);
+            }
+        }
+        self.mint.serve(now, shares);
+    }
+
+    /// Takes a token for one root request of the team, beside which these others
+    /// wait for one here.
+    pub fn take(
+        &mut self,
+        now: Time,
+        team: &Team,
+        importance: Importance,
+        others: Waiting,
+    ) -> Charge {
+        let Some((rate, _)) = self.limits.get(team) else {
+            return Charge::Over;
+        };
+        if rate.as_millis() == 0 {
+            return Charge::Taken(Grant(0));
+        }
+        if !self.accounts.contains_key(team) {
+            let account = Account::new(now, self.placement.servers(team));
+            self.accounts.insert(team.clone(), account);
+        }
+        let Some(account) = self.accounts.get_mut(team) else {
+            return Charge::Over;
+        };
+        let mut waiting = others;
+        waiting.add(importance);
+        account.set_waiting(waiting);
+        let mut taken = account.take(now, importance);
+        if !taken {
+            self.ask(now, team);
+            let account = self.accounts.get_mut(team);
+            taken = account.is_some_and(|account| account.take(now, importance));
+        }
+        if !taken {
+            return Charge::Pending;
+        }
+        if let Some(account) = self.accounts.get_mut(team) {
+            account.set_waiting(others);
+        }
+        self.ask(now, team);
+        Charge::Taken(Grant(0))
+    }
+
+    /// Whether the team is over its rate: no server had a token lately.
+    pub fn is_over(&self, now: Time, team: &Team) -> bool {
+        let account = self.accounts.get(team);
+        account.is_some_and(|account| account.is_over(now))
+    }
+
+    /// The time until the team has a token again, as far as its servers told.
+    pub fn wait(&self, now: Time, team: &Team) -> Span {
+        let account = self.accounts.get(team);
+        account.map_or(Span::ZERO, |account| account.wait(now))
+    }
+
+    /// The servers of a team in the order in which this node asks them.
+    pub fn servers(&self, team: &Team) -> Vec<Instance> {
+        self.placement.servers(team)
+    }
+
+    /// Gives a token back, as its request was not run.
+    pub fn give_back(&mut self, team: &Team) {
+        if let Some(account) = self.accounts.get_mut(team) {
+            account.give_back();
+        }
+    }
+
+    /// Takes a message, and says for which team those who wait should try
+    /// again.
+    pub fn on(&mut self, now: Time, message: Message) -> Option<Team> {
+        match message {
+            Message::Deposit(tokens) => {
+                for (team, millis) in tokens {
+                    self.mint.deposit(now, &team, millis);
+                }
+                None
+            }
+            Message::Borrow { from, wish } => {
+                let lent = self.mint.lend(now, &wish);
+                let answer = Message::Lend {
+                    team: wish.team,
+                    number: wish.number,
+                    lent,
+                };
+                self.outbox.push((from, answer));
+                None
+            }
+            Message::WantParts {
+                from: to,
+                number,
+                teams,
+            } => {
+                let parts = self.mint.give(now, &to, &teams);
+                if !parts.is_empty() {
+                    let from = self.me.instance.clone();
+                    let answer = Message::Parts {
+                        from,
+                        number,
+                        parts,
+                    };
+                    self.outbox.push((to, answer));
+                }
+                None
+            }
+            Message::Parts {
+                from,
+                number,
+                parts,
+            } => {
+                let asked = *self.asked_parts.get(&number)?;
+                for part in &parts {
+                    self.mint.take_part(now, asked, &from, part);
+                }
+                None
+            }
+            Message::Lend { team, number, lent } => {
+                let account = self.accounts.get_mut(&team)?;
+                let server = account.lent(now, number, lent)?;
+                self.silent.remove(&server);
+                self.ask(now, &team);
+                let account = self.accounts.get(&team)?;
+                account.can_take(now).then_some(team)
+            }
+        }
+    }
+
+    /// Gives tokens back, gives up wishes without an answer, and lists the teams
+    /// whose waiting requests should try again. `waiting` tells how many of each
+    /// team wait here.
+    pub fn tick(&mut self, now: Time, waiting: &BTreeMap<Team, Waiting>) -> Vec<Team> {
+        self.silent
+            .retain(|_, silence| now.since(silence.last) < PASSED_OVER);
+        self.accounts
+            .retain(|_, account| !account.is_idle(now, IDLE));
+        let mut back: BTreeMap<Instance, Vec<(Team, u64)>> = BTreeMap::new();
+        let mut wanting = Vec::new();
+        for (team, account) in &mut self.accounts {
+            account.measure(now);
+            account.set_waiting(waiting.get(team).copied().unwrap_or_default());
+            if let Some(silent) = account.overdue(now) {
+                let silence = self.silent.entry(silent).or_insert(Silence {
+                    wishes: 0,
+                    last: now,
+                });
+                silence.wishes += 1;
+                silence.last = now;
+            }
+            for (server, millis) in account.surplus(now) {
+                back.entry(server).or_default().push((team.clone(), millis));
+            }
+            if account.is_waited_for() {
+                wanting.push(team.clone());
+            }
+        }
+        self.deposit(now, back);
+        self.want_parts(now);
+        for team in &wanting {
+            self.ask(now, team);
+        }
+        let can_take = |team: &Team| self.accounts.get(team).is_some_and(|a| a.can_take(now));
+        wanting.retain(can_take);
+        wanting
+    }
+
+    /// Messages to be sent.
+    pub fn outbox(&mut self) -> Vec<(Instance, Message)> {
+        std::mem::take(&mut self.outbox)
+    }
+
+    fn want_parts(&mut self, now: Time) {
+        self.asked_parts
+            .retain(|_, asked| now.since(*asked) < DELEGATION);
+        for (server, teams) in self.mint.wanted_parts(now) {
+            self.next_number += 1;
+            self.asked_parts.insert(self.next_number, now);
+            let message = Message::WantParts {
+                from: self.me.instance.clone(),
+                number: self.next_number,
+                teams,
+            };
+            self.outbox.push((server, message));
+        }
+    }
+
+    fn deposit(&mut self, now: Time, back: BTreeMap<Instance, Vec<(Team, u64)>>) {
+        for (server, tokens) in back {
+            if server != self.me.instance {
+                self.outbox.push((server, Message::Deposit(tokens)));
+                continue;
+            }
+            for (team, millis) in tokens {
+                self.mint.deposit(now, &team, millis);
+            }
+        }
+    }
+
+    /// Asks servers for what a team lacks here, this node itself without a message.
+    fn ask(&mut self, now: Time, team: &Team) {
+        let Some(account) = self.accounts.get_mut(team) else {
+            return;
+        };
+        let is_silent = |instance: &Instance| {
+            let silence = self.silent.get(instance);
+            silence.is_some_and(|silence| silence.is_passed_over(now))
+        };
+        while let Some((server, wish)) = account.ask(now, team, self.next_number + 1, is_silent) {
+            self.next_number += 1;
+            if server != self.me.instance {
+                let from = self.me.instance.clone();
+                self.outbox.push((server, Message::Borrow { from, wish }));
+                return;
+            }
+            let lent = self.mint.lend(now, &wish);
+            account.lent(now, wish.number, lent);
+        }
+    }
+}
--- /dev/null
+++ b/src/process/quota/bank/account.rs
@@ -0,0 +1,383 @@
+//! The borrower's side: one team's tokens at this node.
+
+use super::message::{
+    Lent,
+    Wish, //
+};
+use crate::{
+    clock::{
+        Span,
+        Time, //
+    },
+    context::Importance,
+    id::{
+        Instance,
+        Team, //
+    },
+    quota::bucket::MILLI,
+};
+
+/// How long tokens may be used that calls wait for, and that are borrowed ahead.
+/// They count against their server's bucket for as long.
+const WAITED_LIFE: Span = Span::from_ms(40);
+const AHEAD_LIFE: Span = Span::from_ms(150);
+/// Time before the end of a loan at which the rest is given back.
+const RETURN: Span = Span::from_ms(20);
+/// A node borrows when what it holds lasts no longer than this many seconds.
+const RESERVE: f64 = 0.1;
+/// It borrows ahead for so many seconds of its demand.
+const AHEAD: f64 = 0.1;
+/// An unanswered wish is given up after this.
+pub(super) const ANSWER_TIMEOUT: Span = Span::from_ms(60);
+/// The least and the longest time before a server without tokens is asked again.
+const SHORTEST_PAUSE: Span = Span::from_ms(20);
+const LONGEST_PAUSE: Span = Span::from_ms(100);
+/// The time before a server is asked again that mints nothing now.
+const NOT_SERVING_PAUSE: Span = Span::from_ms(250);
+/// How long the refusal of a server proves that a team is over its rate.
+const OVER: Span = Span::from_ms(500);
+/// How often demand is measured, and the weight of the newest measurement.
+const DEMAND_WINDOW: Span = Span::from_ms(200);
+const DEMAND_EWMA_WEIGHT: f64 = 0.3;
+
+const IMPORTANCES: usize = Importance::ALL.len();
+
+/// Calls that wait for a token, by their importance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Waiting([u32; IMPORTANCES]);
+
+impl Waiting {
+    /// Adds one.
+    pub fn add(&mut self, importance: Importance) {
+        self.0[importance as usize] += 1;
+    }
+
+    /// Takes one out.
+    pub fn remove(&mut self, importance: Importance) {
+        let count = &mut self.0[importance as usize];
+        *count = count.saturating_sub(1);
+    }
+
+    /// How many of this importance wait.
+    pub fn of(&self, importance: Importance) -> u32 {
+        self.0[importance as usize]
+    }
+
+    /// Whether none waits.
+    pub fn is_empty(&self) -> bool {
+        self.0.iter().all(|count| *count == 0)
+    }
+
+    /// The importances of those that wait, highest first.
+    fn importances(&self) -> impl Iterator<Item = Importance> {
+        let all = Importance::ALL.into_iter().rev();
+        all.filter(|importance| self.of(*importance) > 0)
+    }
+}
+
+/// Borrowed tokens.
+#[derive(Clone, Debug)]
+struct Loan {
+    server: Instance,
+    tokens: u32,
+    end: Time,
+    /// The least importance that may use it.
+    least: Importance,
+}
+
+impl Loan {
+    fn fits(&self, now: Time, importance: Importance) -> bool {
+        now < self.end && self.tokens > 0 && importance >= self.least
+    }
+}
+
+/// A wish without an answer.
+#[derive(Clone, Debug)]
+struct Asked {
+    number: u64,
+    at: Time,
+    importance: Importance,
+    server: Instance,
+    life: Span,
+}
+
+/// A server of the team, as this node knows it.
+#[derive(Clone, Debug)]
+struct Server {
+    instance: Instance,
+    /// Until when asking is of no use, by importance.
+    pause: [Time; IMPORTANCES],
+    /// When it last had no token, and when it will have one.
+    empty: Option<(Time, Time)>,
+    /// When it last said that it mints none.
+    idle: Option<Time>,
+}
+
+/// One team's tokens at this node.
+#[derive(Clone, Debug)]
+pub(super) struct Account {
+    servers: Vec<Server>,
+    loans: Vec<Loan>,
+    asked: Option<Asked>,
+    /// A part of a token that a server without a whole one had.
+    fraction: u64,
+    /// Tokens whose requests were not run.
+    returned: u32,
+    waiting: Waiting,
+    demand: f64,
+    taken: u32,
+    window: Time,
+    used: Time,
+}
+
+impl Account {
+    pub(super) fn new(now: Time, servers: Vec<Instance>) -> Self {
+        let mut account = Self {
+            servers: Vec::new(),
+            loans: Vec::new(),
+            asked: None,
+            fraction: 0,
+            returned: 0,
+            waiting: Waiting::default(),
+            demand: 0.0,
+            taken: 0,
+            window: now,
+            used: now,
+        };
+        account.place(servers);
+        account
+    }
+
+    /// Goes by these servers from now on, in this order.
+    pub(super) fn place(&mut self, servers: Vec<Instance>) {
+        let mut former = std::mem::take(&mut self.servers);
+        for instance in servers {
+            let known = former.iter().position(|s| s.instance == instance);
+            self.servers.push(match known {
+                Some(place) => former.swap_remove(place),
+                None => Server::new(instance),
+            });
+        }
+    }
+
+    /// Takes a token that is here.
+    pub(super) fn take(&mut self, now: Time, importance: Importance) -> bool {
+        self.used = now;
+        let usable = |loan: &&mut Loan| loan.fits(now, importance);
+        let Some(loan) = self.loans.iter_mut().find(usable) else {
+            return false;
+        };
+        loan.tokens -= 1;
+        self.taken += 1;
+        true
+    }
+
+    /// Whether the most important of those that wait would get a token.
+    pub(super) fn can_take(&self, now: Time) -> bool {
+        let first = self.waiting.importances().next();
+        first.is_some_and(|first| self.loans.iter().any(|loan| loan.fits(now, first)))
+    }
+
+    pub(super) fn set_waiting(&mut self, waiting: Waiting) {
+        self.waiting = waiting;
+    }
+
+    pub(super) fn is_waited_for(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
+    pub(super) fn give_back(&mut self) {
+        self.returned += 1;
+    }
+
+    /// Whether every server of the team had no token lately.
+    pub(super) fn is_over(&self, now: Time) -> bool {
+        let is_empty = |server: &Server| server.empty.is_some();
+        let servers = &self.servers;
+        servers.iter().any(is_empty) && servers.iter().all(|server| server.is_spent(now))
+    }
+
+    /// The time until a server has a token again, as far as they told.
+    pub(super) fn wait(&self, now: Time) -> Span {
+        let ready = self.servers.iter().filter_map(|server| server.empty);
+        let first = ready.map(|(_, ready)| ready).min();
+        first.map_or(Span::ZERO, |ready| now.until(ready))
+    }
+
+    /// The next wish and the server that it goes to, unless one is under way.
+    pub(super) fn ask(
+        &mut self,
+        now: Time,
+        team: &Team,
+        number: u64,
+        is_silent: impl Fn(&Instance) -> bool,
+    ) -> Option<(Instance, Wish)> {
+        if self.asked.is_some() {
+            return None;
+        }
+        let (importance, want) = self.wants(now)?;
+        let life = match self.waiting.is_empty() {
+            true => AHEAD_LIFE,
+            false => WAITED_LIFE,
+        };
+        let (silent, speaking): (Vec<_>, Vec<_>) = self
+            .servers
+            .iter()
+            .partition(|server| is_silent(&server.instance));
+        // A silent one may still have what no other mints.
+        let is_idle = |server: &&Server| server.idle.is_some_and(|at| now.since(at) <= OVER);
+        let silent = match speaking.iter().all(is_idle) {
+            true => silent,
+            false => Vec::new(),
+        };
+        let servers = speaking.into_iter().chain(silent);
+        let mut servers = servers.filter(|server| server.pause[importance as usize] <= now);
+        let server = servers.next()?.instance.clone();
+        let last = servers.next().is_none();
+        let wish = Wish {
+            team: team.clone(),
+            number,
+            want,
+            importance,
+            brings: std::mem::take(&mut self.fraction),
+            life,
+            last,
+        };
+        self.asked = Some(Asked {
+            number,
+            at: now,
+            importance,
+            server: server.clone(),
+            life,
+        });
+        Some((server, wish))
+    }
+
+    /// What to borrow, and for which importance: for the most important calls that
+    /// wait, else ahead. Nothing is borrowed ahead that would likely not be used in
+    /// time, or while servers have none.
+    fn wants(&self, now: Time) -> Option<(Importance, u32)> {
+        let ahead = self.demand * AHEAD;
+        let scarce = self.servers.iter().any(|server| {
+            let low = server.pause[Importance::Low as usize];
+            now < low
+        });
+        for importance in self.waiting.importances() {
+            let waiting = self.waiting.of(importance);
+            let held = self.held(now, importance);
+            if waiting > held {
+                let more = if scarce { 0 } else { ahead as u32 };
+                return Some((importance, waiting - held + more));
+            }
+        }
+        let low = f64::from(self.held(now, Importance::Critical)) < self.demand * RESERVE;
+        let likely = ahead >= 1.0 && low && !scarce && self.waiting.is_empty();
+        likely.then_some((Importance::Low, ahead as u32))
+    }
+
+    fn held(&self, now: Time, importance: Importance) -> u32 {
+        let usable = self.loans.iter().filter(|loan| loan.fits(now, importance));
+        usable.map(|loan| loan.tokens).sum()
+    }
+
+    /// Takes the answer to the open wish, and names the server that gave it.
+    pub(super) fn lent(&mut self, now: Time, number: u64, lent: Lent) -> Option<Instance> {
+        let asked = self.asked.take_if(|asked| asked.number == number)?;
+        self.fraction += lent.fraction;
+        if lent.tokens > 0 {
+            self.loans.push(Loan {
+                server: asked.server.clone(),
+                tokens: lent.tokens,
+                end: asked.at + asked.life,
+                least: asked.importance,
+            });
+        }
+        let server = self
+            .servers
+            .iter_mut()
+            .find(|server| server.instance == asked.server);
+        if let Some(server) = server {
+            server.answered(now, asked.importance, lent);
+        }
+        Some(asked.server)
+    }
+
+    /// Gives up a wish that got no answer, and names the silent server.
+    pub(super) fn overdue(&mut self, now: Time) -> Option<Instance> {
+        let late = |asked: &mut Asked| now.since(asked.at) >= ANSWER_TIMEOUT;
+        self.asked.take_if(late).map(|asked| asked.server)
+    }
+
+    /// What goes back to servers: loans that will hardly be used in time, tokens
+    /// whose requests were not run, and a fraction that no server asked for.
+    pub(super) fn surplus(&mut self, now: Time) -> Vec<(Instance, u64)> {
+        let mut back = Vec::new();
+        let over = |loan: &mut Loan| loan.tokens == 0 || now + RETURN >= loan.end;
+        for loan in self.loans.extract_if(.., over) {
+            if loan.tokens > 0 && now < loan.end {
+                back.push((loan.server, u64::from(loan.tokens) * MILLI));
+            }
+        }
+        let rest = u64::from(std::mem::take(&mut self.returned)) * MILLI;
+        let rest = match self.asked {
+            Some(_) => rest,
+            None => rest + std::mem::take(&mut self.fraction),
+        };
+        if let Some(first) = self.servers.first().filter(|_| rest > 0) {
+            back.push((first.instance.clone(), rest));
+        }
+        back
+    }
+
+    pub(super) fn measure(&mut self, now: Time) {
+        let span = now.since(self.window);
+        if span >= DEMAND_WINDOW {
+            let recent = f64::from(self.taken) / span.as_secs_f64();
+            self.demand += (recent - self.demand) * DEMAND_EWMA_WEIGHT;
+            self.taken = 0;
+            self.window = now;
+        }
+    }
+
+    /// Whether nothing was asked of it for this long.
+    pub(super) fn is_idle(&self, now: Time, span: Span) -> bool {
+        now.since(self.used) >= span && self.asked.is_none() && self.loans.is_empty()
+    }
+}
+
+impl Server {
+    fn new(instance: Instance) -> Self {
+        Self {
+            instance,
+            pause: [Time::ZERO; IMPORTANCES],
+            empty: None,
+            idle: None,
+        }
+    }
+
+    /// Whether it had no token lately, or none that it might mint.
+    fn is_spent(&self, now: Time) -> bool {
+        let empty = self.empty.map(|(at, _)| at);
+        empty.max(self.idle).is_some_and(|at| now.since(at) <= OVER)
+    }
+
+    fn answered(&mut self, now: Time, importance: Importance, lent: Lent) {
+        if lent.tokens > 0 {
+            self.empty = None;
+            self.idle = None;
+            return;
+        }
+        let pause = match lent.serving {
+            true => {
+                self.empty = Some((now, now + lent.wait));
+                lent.wait.max(SHORTEST_PAUSE).min(LONGEST_PAUSE)
+            }
+            false => {
+                self.idle = Some(now);
+                NOT_SERVING_PAUSE
+            }
+        };
+        // What a server lacks for one importance it lacks for lesser ones.
+        self.pause[..=importance as usize].fill(now + pause);
+    }
+}
--- a/src/process/quota/holder.rs
+++ b/src/process/quota/holder.rs
@@ -4,15 +4,15 @@
 
 use super::{
     Ask,
+    Bank,
     Batch,
     Bucket,
     Charge,
     Message,
-    Pool,
     Reply,
     Return,
-    bucket::MILLI,
-    pool::Waiting, //
+    bank::Waiting,
+    bucket::MILLI, //
 };
 use crate::{
     clock::{
@@ -134,7 +134,7 @@
     next_grant: u64,
     outbox: Vec<(Team, Message)>,
     clocks: BTreeMap<Instance, Heard>,
-    pool: Option<Pool>,
+    bank: Option<Bank>,
 }
 
 impl Holder {
@@ -150,19 +150,18 @@
             next_grant: 0,
             outbox: Vec::new(),
             clocks: BTreeMap::new(),
-            pool: None,
+            bank: None,
         }
     }
 
-    /// Shares rates without an owner from now on.
-    pub fn share(&mut self) -> &mut Pool {
-        let me = self.me.clone();
-        self.pool.get_or_insert_with(|| Pool::new(me))
+    /// Borrows tokens from servers that the listed nodes choose, from now on.
+    pub fn lend(&mut self, bank: Bank) {
+        self.bank = Some(bank);
     }
 
-    /// The shares, where rates have no owner.
-    pub fn pool(&mut self) -> Option<&mut Pool> {
-        self.pool.as_mut()
+    /// The tokens of token servers, where rates have no owner.
+    pub fn bank(&mut self) -> Option<&mut Bank> {
+        self.bank.as_mut()
     }
 
     /// Shares rates in another way, from the beginning of the node on.
@@ -202,8 +201,8 @@
         importance: Importance,
         others: Waiting,
     ) -> Charge {
-        match &mut self.pool {
-            Some(pool) => pool.take(now, team, importance, others),
+        match &mut self.bank {
+            Some(bank) => bank.take(now, team, importance, others),
             None => self.take(now, team),
         }
     }
@@ -234,8 +233,8 @@
     /// The token returns to its grant and ends with it, so it never lifts what
     /// is outstanding above what the quota owner counts.
     pub fn give_back(&mut self, now: Time, team: &Team, grant: Grant) {
-        if let Some(pool) = &mut self.pool {
-            return pool.give_back(now, team);
+        if let Some(bank) = &mut self.bank {
+            return bank.give_back(team);
         }
         if let Some(held) = self.find(team, grant)
             && held.taken > 0
@@ -249,9 +248,15 @@
     /// Whether a team that gets no token is over its rate; else no owner of its
     /// rate can be reached.
     pub fn is_over(&self, now: Time, team: &Team) -> bool {
-        self.pool
+        self.bank
             .as_ref()
-            .is_some_and(|pool| pool.is_over(now, team))
+            .is_some_and(|bank| bank.is_over(now, team))
+    }
+
+    /// The time until a team has a token again, as far as it is known.
+    pub fn wait(&self, now: Time, team: &Team) -> Span {
+        let bank = self.bank.as_ref();
+        bank.map_or(Span::ZERO, |bank| bank.wait(now, team))
     }
 
     /// Notes that the request which took this token has begun.
@@ -269,7 +274,7 @@
 
     /// Time left in which the request that took this token may begin.
     pub fn left(&self, now: Time, team: &Team, grant: Grant) -> Option<Span> {
-        if self.pool.is_some() {
+        if self.bank.is_some() {
             return Some(LASTING);
         }
         if grant == Grant(0) {
--- a/src/request/ingress.rs
+++ b/src/request/ingress.rs
@@ -44,7 +44,7 @@
     policy::Policy,
     quota::{
         Holder,
-        pool::Waiting, //
+        bank::Waiting, //
     },
     record::{
         Claim,
--- a/src/request/ingress/call.rs
+++ b/src/request/ingress/call.rs
@@ -23,7 +23,7 @@
     id,
     quota::{
         Charge,
-        pool::Waiting, //
+        bank::Waiting, //
     },
     record::Claim, //
 };
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -9,6 +9,7 @@
 pub mod platform;
 pub mod play;
 pub mod promise;
+pub mod rates;
 pub mod script;
 pub mod site;
 pub mod trial;
--- a/tests/fleet/directory.rs
+++ b/tests/fleet/directory.rs
@@ -20,6 +20,7 @@
         Peer,
         Status, //
     },
+    quota::bank,
     store::{
         self,
         Answer,
@@ -253,24 +254,86 @@
     assert_eq!(story.tick().1, [Change::Gone(other.instance)]);
 }
 
-/// A node is cut off from the store and its record lapses. It mints no rate tokens
-/// from then on, but was counted for four seconds more, as its requests may still
-/// be served: so long a part of every rate belonged to nobody, and requests within
-/// their rates were refused.
+fn counted(story: &Story) -> Vec<String> {
+    let counted = story.directory.counted(story.now);
+    counted
+        .iter()
+        .map(|peer| peer.instance.to_string())
+        .collect()
+}
+
+/// Guards against a part of every rate that a node whose record has lapsed no
+/// longer mints, and that nobody else mints either.
 #[test]
-fn a_member_whose_record_lapsed_mints_nothing() {
+fn a_member_whose_record_lapsed_serves_no_tokens() {
     let mut story = Story::new();
-    story.register();
-    let all = [peer("me", 5), peer("one", 1), peer("two", 1)];
+    story.tick();
+    let all = [peer("one", 1), peer("two", 1)];
     story.answer(Purpose::Watch, listing(&all));
-    assert_eq!(story.directory.minters(), 3);
+    assert_eq!(counted(&story), ["one", "two"]);
     story.tick();
     story.answer(Purpose::Watch, gone("two"));
     let (_, changes) = story.tick();
     assert_eq!(changes, [], "it is still a member");
-    assert_eq!(story.directory.minters(), 2);
-    story.answer(Purpose::Watch, listing(&all));
-    assert_eq!(story.directory.minters(), 3, "it is back");
+    assert_eq!(counted(&story), ["one"]);
+}
+
+/// Guards against a newcomer that is chosen before it may mint, and against two
+/// that mint because one of them does not know the newcomer yet.
+#[test]
+fn a_newcomer_serves_tokens_when_all_others_know_it() {
+    let mut story = Story::new();
+    story.register();
+    let me = peer("me", 5);
+    story.tick();
+    story.answer(Purpose::Watch, listing(std::slice::from_ref(&me)));
+    for _ in 0..4 {
+        story.now += Span::from_secs(1);
+        story.tick();
+        story.answer(
+            Purpose::Register,
+            Answer::Leased {
+                lease: Lease(7),
+                ttl: Span::from_secs(6),
+            },
+        );
+        let quiet = Answer::Changes {
+            changes: Vec::new(),
+            at: Revision(9),
+        };
+        story.answer(Purpose::Watch, quiet);
+    }
+    assert_eq!(counted(&story), ["me"]);
+    let asked = story.now;
+    story.now += Span::from_secs(1);
+    story.tick();
+    story.answer(Purpose::Watch, listing(&[me, peer("new", 1)]));
+    assert_eq!(counted(&story), ["me"], "it does not mint yet");
+    let until = story.directory.minting_until(story.now);
+    assert!(until <= asked + bank::JOINING, "the newcomer may mint then");
+    story.now = asked + bank::FRESH;
+    assert_eq!(counted(&story), ["me", "new"]);
+}
+
+/// Guards against minting by a view of the others that is too old.
+#[test]
+fn an_old_view_of_the_others_mints_nothing() {
+    let mut story = Story::new();
+    story.register();
+    story.tick();
+    story.answer(Purpose::Watch, listing(&[peer("me", 5)]));
+    for _ in 0..5 {
+        story.now += Span::from_secs(1);
+        story.tick();
+        story.answer(
+            Purpose::Register,
+            Answer::Leased {
+                lease: Lease(7),
+                ttl: Span::from_secs(6),
+            },
+        );
+    }
+    assert!(story.directory.minting_until(story.now) <= story.now);
 }
 
 /// All nodes come back at once, and each of their records woke every node by
--- a/tests/rights.rs
+++ b/tests/rights.rs
@@ -3,10 +3,10 @@
 #[macro_use]
 mod support;
 
+#[path = "rights/bank.rs"]
+mod bank;
 #[path = "rights/fleet.rs"]
 mod fleet;
-#[path = "rights/pool.rs"]
-mod pool;
 #[path = "rights/seats.rs"]
 mod seats;
 #[path = "rights/window.rs"]
