Feeds: a watcher a domain asks the store, the others ask the watcher

Now the first node of a domain by rendezvous hashing watches; the others ask it over their links and get the changes, or the whole listing, with the age of the question that confirms them, counted on from their own question. A silent watcher, or one with old word, is passed over for two seconds: the next one watches as soon as it is asked, and with none left a node asks the store. A node that begins waits 400 ms for others of its domain before it watches.

--- a/src/connection/message.rs
+++ b/src/connection/message.rs
@@ -12,6 +12,7 @@
 use crate::{
     adoption,
     error::Result,
+    feed,
     frame,
     lease,
     member,
@@ -35,6 +36,8 @@
     Quota(quota::Message),
     /// Tokens of token servers.
     Bank(quota::bank::Message),
+    /// The store, as one node tells it to another.
+    Feed(feed::Message),
     /// Records of idempotent requests.
     Record(record::Message),
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -51,6 +51,7 @@
         client,
         directory,
         event,
+        feed,
         interface,
         lease,
         log,
--- a/src/process/directory.rs
+++ b/src/process/directory.rs
@@ -51,7 +51,7 @@
 const GRACE: Span = Span::from_secs(4);
 /// How long a question waits for changes. It bounds how long a silent
 /// connection can hide them.
-const WAIT: Span = Span::from_ms(1500);
+const WAIT: Span = Span::from_ms(900);
 /// The time after changes before the next question. Nodes come and go together:
 /// what changes meanwhile comes with one answer, where every node would else ask
 /// again for each single change.
@@ -317,7 +317,7 @@
         }
         if self.listing.task.due() <= now && !self.leaving {
             self.listing.task.begin(now);
-            calls.push((Purpose::Watch, self.listing.ask()));
+            calls.push((Purpose::Watch, question(self.listing.after)));
         }
         self.listing.bury(now)
     }
@@ -367,6 +367,13 @@
         }
     }
 
+    /// Takes what another node says that the store would have answered, and when
+    /// that was certainly so.
+    pub fn told(&mut self, now: Time, confirmed: Time, answer: Answer) -> Vec<Change> {
+        self.listing.task.sent = confirmed;
+        self.answer(now, Purpose::Watch, answer)
+    }
+
     /// The own record is there for the others. A lost write of an earlier life
     /// may take effect late, over this life's record, or the lease may have
     /// lapsed: then it is written anew.
@@ -449,22 +456,11 @@
 }
 
 impl Listing {
-    fn ask(&self) -> Call {
-        let prefix = PREFIX.to_owned();
-        match self.after {
-            None => Call::Read { prefix },
-            Some(after) => Call::Follow {
-                prefix,
-                after,
-                wait: WAIT,
-            },
-        }
-    }
-
     fn answer(&mut self, now: Time, answer: Answer) -> Vec<Change> {
         match answer {
             Answer::Listing { entries, at } => {
-                let former = self.viewed.replace(self.task.sent);
+                let former = self.viewed;
+                self.viewed = former.max(Some(self.task.sent));
                 self.after = Some(at);
                 self.task.succeed(now);
                 let there: Vec<_> = entries
@@ -478,7 +474,8 @@
                     .collect()
             }
             Answer::Changes { changes, at } => {
-                let former = self.viewed.replace(self.task.sent);
+                let former = self.viewed;
+                self.viewed = former.max(Some(self.task.sent));
                 self.after = Some(at);
                 self.task.succeed(now + SETTLE);
                 let mut news = Vec::new();
@@ -591,6 +588,19 @@
     peer(&entry.key, &entry.value).map(|peer| peer.incarnation)
 }
 
+/// The question to the store for what has changed since a revision.
+pub fn question(after: Option<Revision>) -> Call {
+    let prefix = PREFIX.to_owned();
+    match after {
+        None => Call::Read { prefix },
+        Some(after) => Call::Follow {
+            prefix,
+            after,
+            wait: WAIT,
+        },
+    }
+}
+
 fn record_key(instance: &Instance) -> String {
     format!("{PREFIX}{instance}")
 }
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -7,6 +7,7 @@
 pub mod directory;
 pub mod event;
 pub(crate) mod export;
+pub mod feed;
 pub(crate) mod intake;
 pub mod interface;
 pub mod lease;
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -529,6 +529,7 @@
             (Message::Lease(message), _) => self.lease(now, message, out),
             (Message::Quota(message), _) => self.quota(now, message, out),
             (Message::Bank(message), _) => self.tokens(now, message, out),
+            (Message::Feed(message), _) => self.feed(now, message, out),
             (Message::Record(message), _) => self.record(now, message, out),
         }
     }
--- a/src/process/node/listed.rs
+++ b/src/process/node/listed.rs
@@ -16,21 +16,31 @@
     },
     code::Code,
     directory::{
+        self,
         Change,
         Directory,
         Purpose, //
     },
+    feed::{
+        self,
+        Subscriber,
+        Topic,
+        Watcher, //
+    },
     follow::{
         Follower,
         News, //
     },
+    frame::Frame,
     id::{
         Instance,
+        Revision,
         Version, //
     },
     ingress,
     interface::Source,
     member::{
+        self,
         Peer,
         Status, //
     },
@@ -92,10 +102,15 @@
 /// The part of the saved retries that only critical requests and calls use.
 const RESERVE: f64 = 0.5;
 
+/// A call to the store that has no answer yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Task {
-    Directory(Purpose),
-    Follower,
+    Register,
+    Follow {
+        topic: Topic,
+        after: Option<Revision>,
+        sent: Time,
+    },
 }
 
 /// A member that cannot be reached.
@@ -105,6 +120,16 @@
     pause: Span,
 }
 
+/// Watchers of a domain in the order in which the others ask them.
+const WATCHERS: usize = 3;
+/// Purpose of the choice of watchers.
+const WATCHER: u64 = 0x3a7c;
+
+/// How long a node that begins waits for others of its domain to be listed.
+/// Without them it watches the store itself, so a fleet that begins together
+/// would ask it in everybody's name.
+const ALONE: Span = Span::from_ms(400);
+
 /// What a listed node keeps.
 #[derive(Debug)]
 pub(super) struct Listed {
@@ -112,6 +137,11 @@
     directory: Directory,
     follower: Follower,
     asked: BTreeMap<u64, Task>,
+    begun: Option<Time>,
+    watcher: Watcher,
+    subscriber: Subscriber,
+    /// The watchers of this domain, best first.
+    watchers: Vec<Instance>,
     away: BTreeMap<Instance, Away>,
     next: Time,
     leaving: Option<Time>,
@@ -119,6 +149,15 @@
     stale: bool,
 }
 
+impl Listed {
+    /// Whether others of this domain may be listed at any moment.
+    fn is_early(&self, now: Time) -> bool {
+        let begun = self.begun.unwrap_or(now);
+        let waits = self.directory.is_listed() && self.watchers.len() <= 1;
+        waits && now.since(begun) < ALONE
+    }
+}
+
 impl Core {
     /// Finds members and configuration in the store, from the beginning of the
     /// node on, and shares rates without owners.
@@ -129,6 +168,10 @@
             directory: Directory::new(self.identity.peer.clone()),
             follower: Follower::new(source),
             asked: BTreeMap::new(),
+            begun: None,
+            watcher: Watcher::default(),
+            subscriber: Subscriber::default(),
+            watchers: Vec::new(),
             away: BTreeMap::new(),
             next: Time::ZERO,
             leaving: None,
@@ -184,6 +227,7 @@
             return Time::NEVER;
         };
         let calls = listed.directory.due().min(listed.follower.due());
+        let calls = calls.min(listed.subscriber.due());
         let away = listed.away.values().map(|away| away.next).min();
         calls.min(listed.next).min(away.unwrap_or(Time::NEVER))
     }
@@ -195,13 +239,23 @@
         let mut calls = Vec::new();
         let gone = listed.directory.tick(now, &mut calls);
         for (purpose, call) in calls {
-            let number = self.ask(Asker::Listed, call, out);
-            listed.asked.insert(number, Task::Directory(purpose));
+            match purpose {
+                Purpose::Register => {
+                    let number = self.ask(Asker::Listed, call, out);
+                    listed.asked.insert(number, Task::Register);
+                }
+                Purpose::Watch => listed.subscriber.want(Topic::Members, call.after()),
+            }
         }
-        if let Some(call) = listed.follower.tick(now) {
-            let number = self.ask(Asker::Listed, call, out);
-            listed.asked.insert(number, Task::Follower);
+        listed.begun.get_or_insert(now);
+        // Members come first: they tell whom to ask for the rest.
+        if listed.directory.is_listed()
+            && let Some(call) = listed.follower.tick(now)
+        {
+            let topic = Topic::Configuration;
+            listed.subscriber.want(topic, call.after());
         }
+        self.inquire(now, &mut listed, out);
         for (peer, away) in &mut listed.away {
             if now >= away.next {
                 away.next = now + away.pause;
@@ -221,11 +275,91 @@
         self.tokens_tick(now, out);
     }
 
+    /// Asks a watcher of this domain for what is wanted to know, or else the store.
+    fn inquire(&mut self, now: Time, listed: &mut Listed, out: &mut Vec<Action>) {
+        let me = &self.identity.peer.instance;
+        listed.subscriber.expire(now);
+        let watchers = listed.watchers.iter();
+        let chosen = listed.subscriber.choose(now, watchers);
+        let chosen = chosen.filter(|chosen| *chosen != me && !listed.watcher.is_asked(now));
+        if let Some(chosen) = chosen.cloned() {
+            if let Some(question) = listed.subscriber.ask(now, me, &chosen) {
+                listed.watcher.rest();
+                out.push(control(chosen, Message::Feed(question)));
+            }
+        } else if !listed.is_early(now) {
+            for (topic, after) in listed.subscriber.give_up() {
+                let after = after.filter(|_| listed.watcher.knows(topic));
+                let call = match topic {
+                    Topic::Members => directory::question(after),
+                    Topic::Configuration => listed.follower.question(after),
+                };
+                let number = self.ask(Asker::Listed, call, out);
+                let sent = now;
+                let task = Task::Follow { topic, after, sent };
+                listed.asked.insert(number, task);
+            }
+        }
+        let me = &self.identity.peer.instance;
+        for (to, reply) in listed.watcher.replies(now, me) {
+            out.push(control(to, Message::Feed(reply)));
+        }
+    }
+
+    /// Takes a message between a watcher and the nodes that ask it.
+    pub(super) fn feed(&mut self, now: Time, message: feed::Message, out: &mut Vec<Action>) {
+        let Some(listed) = &mut self.listed else {
+            return;
+        };
+        match message {
+            feed::Message::Question {
+                from,
+                number,
+                after,
+            } => listed.watcher.ask(now, from, number, after),
+            feed::Message::Reply {
+                number, held, news, ..
+            } => {
+                for word in listed.subscriber.reply(now, number, held, news) {
+                    self.told(now, word, out);
+                }
+            }
+        }
+        self.listed_tick(now, out);
+    }
+
+    /// Takes what a watcher says of the store.
+    fn told(&mut self, now: Time, word: feed::Word, out: &mut Vec<Action>) {
+        let Some(listed) = &mut self.listed else {
+            return;
+        };
+        match word.topic {
+            Topic::Members => {
+                let changes = listed.directory.told(now, word.confirmed, word.answer);
+                self.listed_changes(now, changes, out);
+            }
+            Topic::Configuration => {
+                let news = listed.follower.told(now, word.confirmed, word.answer);
+                self.listed_news(now, news, out);
+            }
+        }
+    }
+
+    /// The members of this domain that watch the store, best first.
+    fn listed_watchers(&self) -> Vec<Instance> {
+        let own = &self.identity.peer;
+        let fit = |peer: &&Peer| peer.domain == own.domain && peer.status == Status::Alive;
+        let best = member::ranked(self.members.iter().filter(fit), WATCHER, WATCHERS);
+        best.into_iter().map(|peer| peer.instance.clone()).collect()
+    }
+
     /// What follows from members and time.
     fn refresh(&mut self, now: Time, out: &mut Vec<Action>) {
+        let watchers = self.listed_watchers();
         let Some(listed) = &mut self.listed else {
             return;
         };
+        listed.watchers = watchers;
         let age = listed.follower.age(now);
         let stale = age.is_none_or(|age| age > listed.bounds.stale);
         if stale != listed.stale {
@@ -290,30 +424,45 @@
             return;
         };
         match listed.asked.remove(&number) {
-            Some(Task::Directory(purpose)) => {
-                let changes = listed.directory.answer(now, purpose, answer);
-                self.listed_changes(now, changes, out);
+            Some(Task::Register) => {
+                listed.directory.answer(now, Purpose::Register, answer);
             }
-            Some(Task::Follower) => match listed.follower.answer(now, answer) {
-                News::Nothing => {}
-                News::Newer(snapshot) => {
-                    out.push(Action::Note(Note::Adopted(snapshot.version)));
-                    if let Some(bank) = self.quota.bank() {
-                        bank.teams(now, &snapshot.teams.teams);
+            Some(Task::Follow { topic, after, sent }) => {
+                listed.watcher.note(topic, sent, after, &answer);
+                match topic {
+                    Topic::Members => {
+                        let changes = listed.directory.answer(now, Purpose::Watch, answer);
+                        self.listed_changes(now, changes, out);
+                    }
+                    Topic::Configuration => {
+                        let news = listed.follower.answer(now, answer);
+                        self.listed_news(now, news, out);
                     }
-                    self.adopt((*snapshot).into());
-                }
-                News::Unusable(error) => {
-                    self.counts.add(Counter::Invalid);
-                    let reason = error.reason().to_owned();
-                    out.push(Action::Note(Note::Unusable(reason)));
                 }
-            },
+            }
             None => {}
         }
         self.listed_tick(now, out);
     }
 
+    fn listed_news(&mut self, now: Time, news: News, out: &mut Vec<Action>) {
+        match news {
+            News::Nothing => {}
+            News::Newer(snapshot) => {
+                out.push(Action::Note(Note::Adopted(snapshot.version)));
+                if let Some(bank) = self.quota.bank() {
+                    bank.teams(now, &snapshot.teams.teams);
+                }
+                self.adopt((*snapshot).into());
+            }
+            News::Unusable(error) => {
+                self.counts.add(Counter::Invalid);
+                let reason = error.reason().to_owned();
+                out.push(Action::Note(Note::Unusable(reason)));
+            }
+        }
+    }
+
     fn listed_changes(&mut self, now: Time, changes: Vec<Change>, out: &mut Vec<Action>) {
         for change in changes {
             match change {
@@ -348,6 +497,7 @@
         let Some(listed) = &mut self.listed else {
             return;
         };
+        listed.subscriber.broken(now, peer);
         let Some(member) = self.members.get(peer).cloned() else {
             return;
         };
@@ -416,3 +566,8 @@
         listed.directory.has_left() || now.since(left) >= LEAVE
     }
 }
+
+/// A message that must not be lost, over the link to a peer.
+fn control(to: Instance, message: Message) -> Action {
+    Action::Frame(to, Frame::Control(Box::new(message)))
+}
--- a/src/process/quota/bank.rs
+++ b/src/process/quota/bank.rs
@@ -75,9 +75,9 @@
 };
 
 /// How old the view of the listed nodes may be for a node that mints.
-pub const FRESH: Span = Span::from_secs(3);
+pub const FRESH: Span = Span::from_secs(4);
 /// How long a node must have been listed before it mints.
-pub const JOINING: Span = Span::from_ms(3500);
+pub const JOINING: Span = Span::from_ms(4500);
 /// A server that left so many wishes in a row unanswered is passed over, and for
 /// how long. A single message may be lost.
 const SILENT_AFTER: u32 = 2;
--- a/src/process/store.rs
+++ b/src/process/store.rs
@@ -109,6 +109,14 @@
         )
     }
 
+    /// The revision after which the call follows changes.
+    pub fn after(&self) -> Option<Revision> {
+        match self {
+            Self::Follow { after, .. } | Self::Watch { after, .. } => Some(*after),
+            _ => None,
+        }
+    }
+
     /// The key or prefix that the call names, if it names one.
     pub fn key(&self) -> Option<&str> {
         match self {
--- a/src/version/follow.rs
+++ b/src/version/follow.rs
@@ -27,14 +27,14 @@
 
 /// How long a question waits for changes. Two of them bound the age in quiet
 /// times, which has to stay well below the bound on withdrawn keys.
-const WAIT: Span = Span::from_ms(1500);
+const WAIT: Span = Span::from_ms(900);
 /// The time between two questions while the store does not answer: at first,
 /// and at most. Every call is counted, refused ones too; an outage that ends is
 /// noticed this late.
 const FIRST_PAUSE: Span = Span::from_ms(50);
 const LONGEST_PAUSE: Span = Span::from_ms(800);
 /// The time between two looks for a value that is not there yet.
-const ABSENT_PAUSE: Span = Span::from_ms(200);
+const ABSENT_PAUSE: Span = Span::from_ms(400);
 
 /// What an answer brought.
 #[derive(Debug)]
@@ -98,15 +98,29 @@
             return None;
         }
         self.asked = Some(now);
+        Some(self.question(self.after))
+    }
+
+    /// The question to the store for what has changed since a revision.
+    pub fn question(&self, after: Option<Revision>) -> Call {
         let prefix = self.source.key.to_owned();
-        Some(match self.after {
+        match after {
             None => Call::Read { prefix },
             Some(after) => Call::Follow {
                 prefix,
                 after,
                 wait: WAIT,
             },
-        })
+        }
+    }
+
+    /// Takes what another node says that the store would have answered, and when
+    /// that was certainly so.
+    pub fn told(&mut self, now: Time, confirmed: Time, answer: Answer) -> News {
+        if self.asked.is_some() {
+            self.asked = Some(confirmed);
+        }
+        self.answer(now, answer)
     }
 
     /// Takes the answer to its question.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -9,6 +9,8 @@
 mod delta;
 #[path = "fleet/directory.rs"]
 mod directory;
+#[path = "fleet/feed.rs"]
+mod feed;
 #[path = "fleet/follow.rs"]
 mod follow;
 #[path = "fleet/freshness.rs"]
--- /dev/null
+++ b/tests/fleet/feed.rs
@@ -0,0 +1,251 @@
+//! Members and configuration, as watchers pass them on.
+
+use std::collections::BTreeMap;
+
+use bluebellswitch::{
+    clock::{
+        Span,
+        Time, //
+    },
+    feed::{
+        Message,
+        News,
+        Subscriber,
+        Topic,
+        Watcher,
+        Word, //
+    },
+    id::{
+        Instance,
+        Revision, //
+    },
+    store::{
+        Answer,
+        Change,
+        Entry, //
+    },
+};
+
+const START: Time = Time::from_ms(50_000);
+
+fn name(name: &str) -> Instance {
+    name.parse().expect("a name")
+}
+
+fn entry(key: &str, revision: u64) -> Entry {
+    Entry {
+        key: key.to_owned(),
+        value: format!("{key} at {revision}"),
+        revision: Revision(revision),
+    }
+}
+
+fn listing(keys: &[&str], at: u64) -> Answer {
+    Answer::Listing {
+        entries: keys.iter().map(|key| entry(key, at)).collect(),
+        at: Revision(at),
+    }
+}
+
+fn changed(key: &str, at: u64) -> Answer {
+    let change = Change {
+        key: key.to_owned(),
+        entry: Some(entry(key, at)),
+    };
+    Answer::Changes {
+        changes: vec![change],
+        at: Revision(at),
+    }
+}
+
+fn quiet(at: u64) -> Answer {
+    Answer::Changes {
+        changes: Vec::new(),
+        at: Revision(at),
+    }
+}
+
+/// A watcher and one node that asks it, for members alone.
+struct Pair {
+    now: Time,
+    watcher: Watcher,
+    subscriber: Subscriber,
+}
+
+impl Pair {
+    fn new() -> Self {
+        Self {
+            now: START,
+            watcher: Watcher::default(),
+            subscriber: Subscriber::default(),
+        }
+    }
+
+    /// The store answers a question that the watcher sent just now.
+    fn store(&mut self, after: Option<u64>, answer: &Answer) {
+        let after = after.map(Revision);
+        self.watcher.note(Topic::Members, self.now, after, answer);
+    }
+
+    fn ask(&mut self, after: Option<u64>) {
+        let (me, watcher) = (name("asker"), name("watcher"));
+        self.subscriber.want(Topic::Members, after.map(Revision));
+        if let Some(Message::Question {
+            from,
+            number,
+            after,
+        }) = self.subscriber.ask(self.now, &me, &watcher)
+        {
+            self.watcher.ask(self.now, from, number, after);
+        }
+    }
+
+    /// The watcher's reply, if it has one now.
+    fn reply(&mut self) -> Option<(u64, Span, BTreeMap<Topic, News>)> {
+        let mut replies = self.watcher.replies(self.now, &name("watcher"));
+        match replies.pop()? {
+            (
+                _,
+                Message::Reply {
+                    number, held, news, ..
+                },
+            ) => Some((number, held, news)),
+            _ => None,
+        }
+    }
+
+    fn hear(&mut self) -> Vec<Word> {
+        let reply = self.reply();
+        reply.map_or(Vec::new(), |(number, held, news)| {
+            self.subscriber.reply(self.now, number, held, news)
+        })
+    }
+
+    fn is_chosen(&self) -> bool {
+        let watchers = [name("watcher")];
+        self.subscriber.choose(self.now, watchers.iter()).is_some()
+    }
+}
+
+/// Guards against news that waits for the next question.
+#[test]
+fn a_change_is_passed_on_at_once() {
+    let mut pair = Pair::new();
+    pair.store(None, &listing(&["a"], 5));
+    pair.ask(Some(5));
+    assert!(pair.hear().is_empty(), "there is no news");
+    pair.now += Span::from_ms(100);
+    pair.store(Some(5), &changed("b", 6));
+    let words = pair.hear();
+    assert_eq!(words[0].answer, changed("b", 6));
+}
+
+/// Guards against a reply that was long under way and makes its word look younger.
+#[test]
+fn a_late_reply_confirms_no_more_than_an_early_one() {
+    for delay in [0, 300, 5000] {
+        let mut pair = Pair::new();
+        pair.store(None, &listing(&["a"], 5));
+        pair.now += Span::from_ms(700);
+        pair.ask(Some(5));
+        pair.now += Span::from_ms(400);
+        let (number, held, news) = pair.reply().expect("a reply");
+        pair.now += Span::from_ms(delay);
+        let words = pair.subscriber.reply(pair.now, number, held, news);
+        assert_eq!(words[0].confirmed, START, "after {delay} ms");
+    }
+}
+
+/// Guards against changes that a watcher never saw, because it began to watch
+/// again later than it had stopped.
+#[test]
+fn a_gap_in_what_the_store_told_is_noticed() {
+    let mut pair = Pair::new();
+    pair.store(None, &listing(&["a"], 5));
+    pair.store(Some(8), &changed("c", 9));
+    assert!(!pair.watcher.knows(Topic::Members));
+    pair.ask(Some(5));
+    pair.now += Span::from_ms(400);
+    assert!(pair.hear().is_empty(), "it knows nothing certain");
+}
+
+/// Guards against an asker that misses what happened before the watcher began.
+#[test]
+fn an_asker_from_before_the_log_gets_the_whole_listing() {
+    let mut pair = Pair::new();
+    pair.store(None, &listing(&["a"], 5));
+    pair.store(Some(5), &changed("b", 7));
+    pair.ask(Some(3));
+    let words = pair.hear();
+    let Answer::Listing { entries, at } = &words[0].answer else {
+        panic!("{words:?}");
+    };
+    assert_eq!((entries.len(), *at), (2, Revision(7)));
+}
+
+/// Guards against an asker that knows more than its watcher and is thrown back.
+#[test]
+fn an_asker_that_knows_more_keeps_what_it_knows() {
+    let mut pair = Pair::new();
+    pair.store(None, &listing(&["a"], 5));
+    pair.ask(Some(9));
+    pair.now += Span::from_ms(400);
+    assert_eq!(pair.hear()[0].answer, quiet(9));
+}
+
+/// Guards against waiting for a watcher that is dead, paused or cut off.
+#[test]
+fn a_silent_watcher_is_passed_over_for_a_while() {
+    let mut pair = Pair::new();
+    pair.ask(Some(5));
+    assert!(pair.is_chosen());
+    pair.now += Span::from_ms(1000);
+    pair.subscriber.expire(pair.now);
+    assert!(!pair.is_chosen());
+    let wanted = pair.subscriber.give_up();
+    assert_eq!(wanted[&Topic::Members], Some(Revision(5)));
+    pair.now += Span::from_secs(2);
+    assert!(pair.is_chosen());
+}
+
+/// Guards against a watcher that is cut off from the store alone, on which a whole
+/// domain goes on relying.
+#[test]
+fn a_watcher_with_old_word_is_passed_over() {
+    let mut pair = Pair::new();
+    pair.store(None, &listing(&["a"], 5));
+    pair.now += Span::from_secs(3);
+    pair.ask(Some(5));
+    pair.now += Span::from_ms(400);
+    assert_eq!(pair.hear()[0].confirmed, START);
+    assert!(!pair.is_chosen());
+}
+
+/// Guards against a node that goes on asking the store for others after they have
+/// found another watcher.
+#[test]
+fn a_watcher_that_nobody_asks_rests() {
+    let mut pair = Pair::new();
+    pair.ask(Some(5));
+    assert!(pair.watcher.is_asked(pair.now));
+    pair.now += Span::from_secs(3);
+    assert!(!pair.watcher.is_asked(pair.now));
+}
+
+/// Guards against a second topic that waits until the question for the first one
+/// has been answered, and against taking its absence for ignorance.
+#[test]
+fn a_question_for_more_replaces_the_open_one() {
+    let mut pair = Pair::new();
+    pair.store(None, &listing(&["a"], 5));
+    pair.ask(Some(5));
+    let configuration = listing(&["operator"], 6);
+    let now = pair.now;
+    pair.watcher
+        .note(Topic::Configuration, now, None, &configuration);
+    pair.subscriber.want(Topic::Configuration, None);
+    pair.ask(Some(5));
+    let topics: Vec<_> = pair.hear().into_iter().map(|word| word.topic).collect();
+    assert_eq!(topics, [Topic::Members, Topic::Configuration]);
+    assert!(pair.is_chosen());
+}
