--- a/tests/fleet/directory.rs
+++ b/tests/fleet/directory.rs
@@ -313,6 +313,9 @@
     let until = story.directory.minting_until(story.now);
     assert!(until <= asked + bank::JOINING, "the newcomer may mint then");
     story.now = asked + bank::FRESH;
+    story.tick();
+    let (lease, ttl) = (Lease(7), Span::from_secs(6));
+    story.answer(Purpose::Register, Answer::Leased { lease, ttl });
     assert_eq!(counted(&story), ["me", "new"]);
 }
 
