Refusals over the rate tell when a token is there; the log says who tells of the store

A caller that was refused for want of a token is told no earlier time than the one at which its team's server has the next token. The names in comeback.rs are those of the field. A node notes from whom it hears of the store when that changes.

--- a/src/process/carrier.rs
+++ b/src/process/carrier.rs
@@ -662,6 +662,8 @@
             life:% = peer.incarnation, status:% = peer.status; "a member is there"
         ),
         Note::Gone(name) => log::info!(peer:% = name; "a member is gone"),
+        Note::Source(Some(name)) => log::info!(peer:% = name; "the store is heard from a watcher"),
+        Note::Source(None) => log::info!("the store is asked directly"),
     }
 }
 
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -82,6 +82,9 @@
     Member(member::Peer),
     /// A member is gone.
     Gone(id::Instance),
+    /// What the store holds is heard from this watcher from now on, or from the
+    /// store itself.
+    Source(Option<id::Instance>),
 }
 
 /// What a node knows of itself.
--- a/src/process/node/listed.rs
+++ b/src/process/node/listed.rs
@@ -142,6 +142,8 @@
     subscriber: Subscriber,
     /// The watchers of this domain, best first.
     watchers: Vec<Instance>,
+    /// Who was asked last for what the store holds; nobody for the store itself.
+    source: Option<Instance>,
     away: BTreeMap<Instance, Away>,
     next: Time,
     leaving: Option<Time>,
@@ -172,6 +174,7 @@
             watcher: Watcher::default(),
             subscriber: Subscriber::default(),
             watchers: Vec::new(),
+            source: None,
             away: BTreeMap::new(),
             next: Time::ZERO,
             leaving: None,
@@ -282,7 +285,12 @@
         let watchers = listed.watchers.iter();
         let chosen = listed.subscriber.choose(now, watchers);
         let chosen = chosen.filter(|chosen| *chosen != me && !listed.watcher.is_asked(now));
-        if let Some(chosen) = chosen.cloned() {
+        let chosen = chosen.cloned();
+        if chosen != listed.source {
+            out.push(Action::Note(Note::Source(chosen.clone())));
+            listed.source.clone_from(&chosen);
+        }
+        if let Some(chosen) = chosen {
             if let Some(question) = listed.subscriber.ask(now, me, &chosen) {
                 listed.watcher.rest();
                 out.push(control(chosen, Message::Feed(question)));
--- a/src/request/comeback.rs
+++ b/src/request/comeback.rs
@@ -17,13 +17,13 @@
 
 /// The least part of the time until the target that a caller waits. Coming back
 /// at once would meet what refused it.
-const LEAST: f64 = 0.25;
-/// A shorter wait helps nobody.
-const SHORTEST: Span = Span::from_ms(10);
-/// The part of its time that a caller is willing to wait.
-const WILLING: f64 = 1.0 / 3.0;
+const MIN_WAIT_FRACTION: f64 = 0.25;
+/// Lower bound of Retry-After.
+const MIN_WAIT: Span = Span::from_ms(10);
+/// The part of its time that a caller waits at most.
+const MAX_WAIT_FRACTION: f64 = 1.0 / 3.0;
 /// Where the target cannot be met any more, the least part of the usual wait.
-const LATE: f64 = 0.5;
+const MIN_LATE_FRACTION: f64 = 0.5;
 
 /// A refusal, as far as it tells when to come back.
 #[derive(Clone, Copy, Debug)]
@@ -38,6 +38,8 @@
     pub target: Option<Span>,
     /// How long serving such a request usually takes.
     pub usual: Span,
+    /// Time until what was missing is there again, as far as it is known.
+    pub soonest: Span,
 }
 
 impl Refusal {
@@ -47,14 +49,16 @@
         let Some(target) = self.target.filter(|_| passes(self.code)) else {
             return Some(usual);
         };
-        let willing = self.left.scale(WILLING);
+        let willing = self.left.scale(MAX_WAIT_FRACTION);
         let in_time = (target - self.waited - self.usual).min(willing);
-        if in_time >= SHORTEST {
-            let wait = in_time.scale(rng.random_range(LEAST..=1.0));
-            return Some(wait.max(SHORTEST));
+        if in_time >= MIN_WAIT && in_time >= self.soonest {
+            let least = in_time.scale(MIN_WAIT_FRACTION).max(self.soonest);
+            let spread = (in_time - least).scale(rng.random_range(0.0..=1.0));
+            return Some(least.max(MIN_WAIT) + spread);
         }
-        let late = usual.min(willing).max(SHORTEST);
-        Some(late.scale(rng.random_range(LATE..=1.0)))
+        let late = usual.max(self.soonest).min(willing).max(MIN_WAIT);
+        let late = late.scale(rng.random_range(MIN_LATE_FRACTION..=1.0));
+        Some(late.max(self.soonest.min(willing)))
     }
 }
 
--- a/src/request/ingress/end.rs
+++ b/src/request/ingress/end.rs
@@ -64,6 +64,10 @@
             left: now.until(call.deadline),
             target: call.target,
             usual: Span::from_ms(usual as u64),
+            soonest: match code {
+                Code::RateExceeded => world.quota.wait(now, &call.context.team),
+                _ => Span::ZERO,
+            },
         };
         refusal.wait(world.rng)
     }
--- a/tests/policy/comeback.rs
+++ b/tests/policy/comeback.rs
@@ -27,6 +27,7 @@
         left: Span::from_ms(580),
         target: Some(Span::from_ms(150)),
         usual: Span::from_ms(45),
+        soonest: Span::ZERO,
     }
 }
 
@@ -42,6 +43,24 @@
     }
 }
 
+/// Guards against a caller that is told to come back before a token is there, and
+/// is refused again.
+#[test]
+fn a_caller_comes_back_when_there_is_a_token() {
+    let mut rng = ChaCha8Rng::seed_from_u64(3);
+    for soonest in [0, 40, 70, 84, 150, 190].map(Span::from_ms) {
+        let asked = Refusal {
+            soonest,
+            ..refusal(Code::RateExceeded)
+        };
+        for _ in 0..100 {
+            let wait = asked.wait(&mut rng).expect("a wait");
+            assert!(wait >= soonest, "{wait} of {soonest}");
+            assert!(wait <= Span::from_ms(200), "a third of the time left");
+        }
+    }
+}
+
 /// Callers refused together came back together, and met the same refusal.
 #[test]
 fn those_refused_together_come_back_apart() {
@@ -122,6 +141,7 @@
                     left: DEADLINE,
                     target: Some(TARGET),
                     usual: SERVICE,
+                    soonest: Span::ZERO,
                 };
                 tries.push(Try {
                     at: now + wait(&asked, &mut rng),
