Feeds: large values travel packed, and only the newest of each

A configuration of hundreds of kilobytes goes from the watcher to each node of its domain; several versions on their way were all sent. Values above 4 KiB are deflated once and sent in that form.

--- a/src/process/feed.rs
+++ b/src/process/feed.rs
@@ -12,21 +12,36 @@
 //! own question, and adds only what the watcher measured, so no clocks are
 //! compared and an answer that was held up never looks younger than it is.
 
-use std::collections::{
-    BTreeMap,
-    VecDeque, //
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet,
+        VecDeque, //
+    },
+    io::{
+        Read,
+        Write, //
+    },
 };
 
+use flate2::{
+    Compression,
+    read::DeflateDecoder,
+    write::DeflateEncoder, //
+};
 use serde::{
     Deserialize,
     Serialize, //
 };
+use serde_bytes::ByteBuf;
 
 use crate::{
     clock::{
         Span,
         Time, //
     },
+    error::Result,
+    frame,
     id::{
         Instance,
         Revision, //
@@ -48,6 +63,8 @@
 const OLD: Span = Span::from_ms(2500);
 /// How long a node goes on watching the store after it was last asked.
 const WATCHING: Span = Span::from_secs(3);
+/// Values of more bytes than this are packed.
+const PACKED_ABOVE: usize = 4 << 10;
 /// Answers of the store that a watcher keeps.
 const KEPT_BATCHES: usize = 128;
 
@@ -88,18 +105,61 @@
 /// What a watcher knows of a topic.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct News {
-    /// What the store would have answered.
+    /// What the store would have answered, without the values that are packed.
     pub answer: Answer,
+    /// Large values, by their keys: a watcher sends a configuration of hundreds of
+    /// kilobytes to all nodes of its domain at once.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub packed: BTreeMap<String, ByteBuf>,
     /// The time since the question was sent that confirms it.
     pub age: Span,
 }
 
+impl News {
+    /// The answer with its large values.
+    ///
+    /// # Errors
+    ///
+    /// When a value cannot be unpacked, or is larger than [`frame::LIMIT`].
+    fn unpack(mut self) -> Result<Answer> {
+        for (key, packed) in &self.packed {
+            let mut value = String::new();
+            let mut reader = DeflateDecoder::new(packed.as_slice()).take(frame::LIMIT as u64);
+            reader.read_to_string(&mut value)?;
+            let entries = entries_mut(&mut self.answer);
+            if let Some(entry) = entries.into_iter().find(|entry| entry.key == *key) {
+                entry.value = value;
+            }
+        }
+        Ok(self.answer)
+    }
+}
+
+fn entries_mut(answer: &mut Answer) -> Vec<&mut Entry> {
+    match answer {
+        Answer::Listing { entries, .. } => entries.iter_mut().collect(),
+        Answer::Changes { changes, .. } => {
+            let entries = changes.iter_mut();
+            entries.filter_map(|change| change.entry.as_mut()).collect()
+        }
+        _ => Vec::new(),
+    }
+}
+
+fn pack(value: &str) -> Option<ByteBuf> {
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    encoder.write_all(value.as_bytes()).ok()?;
+    encoder.finish().ok().map(ByteBuf::from)
+}
+
 /// One topic, as the store told it.
 #[derive(Clone, Debug)]
 struct Log {
     entries: BTreeMap<String, Entry>,
-    /// Changes, with the revision that the store had reached with them.
-    batches: VecDeque<(Revision, Vec<Change>)>,
+    /// The large values among them.
+    packed: BTreeMap<String, ByteBuf>,
+    /// Keys that changed, with the revision that the store had reached then.
+    batches: VecDeque<(Revision, Vec<String>)>,
     /// The earliest revision from which changes are known.
     from: Revision,
     at: Revision,
@@ -108,14 +168,25 @@
 
 impl Log {
     fn new(entries: &[Entry], at: Revision, confirmed: Time) -> Self {
-        let entries = entries.iter();
-        Self {
-            entries: entries.map(|e| (e.key.clone(), e.clone())).collect(),
+        let mut log = Self {
+            entries: BTreeMap::new(),
+            packed: BTreeMap::new(),
             batches: VecDeque::new(),
             from: at,
             at,
             confirmed,
-        }
+        };
+        entries.iter().for_each(|entry| log.put(entry));
+        log
+    }
+
+    fn put(&mut self, entry: &Entry) {
+        let packed = (entry.value.len() > PACKED_ABOVE).then(|| pack(&entry.value));
+        match packed.flatten() {
+            Some(packed) => self.packed.insert(entry.key.clone(), packed),
+            None => self.packed.remove(&entry.key),
+        };
+        self.entries.insert(entry.key.clone(), entry.clone());
     }
 
     fn add(&mut self, changes: &[Change], at: Revision, confirmed: Time) {
@@ -129,11 +200,15 @@
         }
         for change in changes {
             match &change.entry {
-                Some(entry) => self.entries.insert(change.key.clone(), entry.clone()),
-                None => self.entries.remove(&change.key),
+                Some(entry) => self.put(entry),
+                None => {
+                    self.entries.remove(&change.key);
+                    self.packed.remove(&change.key);
+                }
             };
         }
-        self.batches.push_back((at, changes.to_vec()));
+        let keys = changes.iter().map(|change| change.key.clone());
+        self.batches.push_back((at, keys.collect()));
         if self.batches.len() > KEPT_BATCHES
             && let Some((dropped, _)) = self.batches.pop_front()
         {
@@ -150,23 +225,43 @@
         last > after
     }
 
-    /// What the store would answer. An asker that knows more than this log has
-    /// nothing to learn from it.
+    /// What the store would answer, each key as it is now. An asker that knows more
+    /// than this log has nothing to learn from it.
     fn answer(&self, after: Option<Revision>) -> Answer {
-        let after = after.filter(|after| *after >= self.from);
-        let Some(after) = after else {
+        let Some(after) = after.filter(|after| *after >= self.from) else {
             return Answer::Listing {
                 entries: self.entries.values().cloned().collect(),
                 at: self.at,
             };
         };
         let newer = self.batches.iter().filter(|(at, _)| *at > after);
-        let changes = newer.flat_map(|(_, changes)| changes).cloned();
+        let keys: BTreeSet<_> = newer.flat_map(|(_, keys)| keys).collect();
+        let changes = keys.into_iter().map(|key| Change {
+            key: key.clone(),
+            entry: self.entries.get(key).cloned(),
+        });
         Answer::Changes {
             changes: changes.collect(),
             at: self.at.max(after),
         }
     }
+
+    /// The answer with its age, and large values packed.
+    fn news(&self, now: Time, after: Option<Revision>) -> News {
+        let mut answer = self.answer(after);
+        let mut packed = BTreeMap::new();
+        for entry in entries_mut(&mut answer) {
+            if let Some(value) = self.packed.get(&entry.key) {
+                entry.value.clear();
+                packed.insert(entry.key.clone(), value.clone());
+            }
+        }
+        News {
+            answer,
+            packed,
+            age: now.since(self.confirmed),
+        }
+    }
 }
 
 /// A question that waits for news.
@@ -261,11 +356,7 @@
             let topics = held.after.iter();
             let news = topics.filter_map(|(topic, after)| {
                 let log = logs.get(topic)?;
-                let news = News {
-                    answer: log.answer(*after),
-                    age: now.since(log.confirmed),
-                };
-                Some((*topic, news))
+                Some((*topic, log.news(now, *after)))
             });
             let message = Message::Reply {
                 from: me.clone(),
@@ -391,12 +482,16 @@
         let mut is_poor = news.len() < open.topics;
         for (topic, news) in news {
             is_poor |= news.age > OLD;
+            let answered = (open.sent + held).min(now);
+            let age = news.age.as_ms().min(answered.as_ms());
+            let Ok(answer) = news.unpack() else {
+                is_poor = true;
+                continue;
+            };
             if self.wanted.remove(&topic).is_some() {
-                let answered = (open.sent + held).min(now);
-                let age = news.age.as_ms().min(answered.as_ms());
                 words.push(Word {
                     topic,
-                    answer: news.answer,
+                    answer,
                     confirmed: Time::from_ms(answered.as_ms() - age),
                 });
             }
--- a/tests/fleet/feed.rs
+++ b/tests/fleet/feed.rs
@@ -249,3 +249,37 @@
     assert_eq!(topics, [Topic::Members, Topic::Configuration]);
     assert!(pair.is_chosen());
 }
+
+/// Guards against a configuration of hundreds of kilobytes that fills the watcher's
+/// link when it goes to all nodes of its domain, once for each version on its way.
+#[test]
+fn a_large_value_travels_packed_and_once() {
+    let mut pair = Pair::new();
+    pair.store(None, &listing(&[], 5));
+    let large = |revision: u64| Entry {
+        key: "operator".to_owned(),
+        value: format!("{{\"version\": {revision}}} ").repeat(20_000),
+        revision: Revision(revision),
+    };
+    for revision in 6..9 {
+        let change = Change {
+            key: "operator".to_owned(),
+            entry: Some(large(revision)),
+        };
+        let answer = Answer::Changes {
+            changes: vec![change],
+            at: Revision(revision),
+        };
+        pair.store(Some(revision - 1), &answer);
+    }
+    pair.ask(Some(5));
+    let (number, held, news) = pair.reply().expect("a reply");
+    let bytes: usize = news[&Topic::Members].packed.values().map(|v| v.len()).sum();
+    assert!(bytes < 20_000, "{bytes} bytes");
+    let words = pair.subscriber.reply(pair.now, number, held, news);
+    let Answer::Changes { changes, at } = &words[0].answer else {
+        panic!("no changes");
+    };
+    assert_eq!((changes.len(), *at), (1, Revision(8)));
+    assert_eq!(changes[0].entry, Some(large(8)));
+}
