Feeds: a node that starts looks for others before it asks the store

Cause: a start made seven full calls, two of them before anybody else was listed and one for a configuration that a watcher could have told. Unless the store has a record of its former life, a node waits 400 ms before its first look, and asks for the configuration when it knows the members.

--- a/src/process/node/listed.rs
+++ b/src/process/node/listed.rs
@@ -138,6 +138,8 @@
     follower: Follower,
     asked: BTreeMap<u64, Task>,
     begun: Option<Time>,
+    /// This node has lived before, so others are listed already.
+    restarted: bool,
     watcher: Watcher,
     subscriber: Subscriber,
     /// The watchers of this domain, best first.
@@ -155,8 +157,7 @@
     /// Whether others of this domain may be listed at any moment.
     fn is_early(&self, now: Time) -> bool {
         let begun = self.begun.unwrap_or(now);
-        let waits = self.directory.is_listed() && self.watchers.len() <= 1;
-        waits && now.since(begun) < ALONE
+        self.watchers.len() <= 1 && !self.restarted && now.since(begun) < ALONE
     }
 }
 
@@ -171,6 +172,7 @@
             follower: Follower::new(source),
             asked: BTreeMap::new(),
             begun: None,
+            restarted: false,
             watcher: Watcher::default(),
             subscriber: Subscriber::default(),
             watchers: Vec::new(),
@@ -183,6 +185,13 @@
         });
     }
 
+    /// Tells that the store had a record of a former life of this node.
+    pub fn begin_again(&mut self) {
+        if let Some(listed) = &mut self.listed {
+            listed.restarted = true;
+        }
+    }
+
     /// Goes by other bounds from now on.
     pub fn set_bounds(&mut self, bounds: Bounds) {
         if let Some(listed) = &mut self.listed {
@@ -472,6 +481,9 @@
     }
 
     fn listed_changes(&mut self, now: Time, changes: Vec<Change>, out: &mut Vec<Action>) {
+        if changes.is_empty() {
+            return;
+        }
         for change in changes {
             match change {
                 Change::Present(peer) if peer.instance == self.identity.peer.instance => {}
@@ -491,6 +503,10 @@
                 }
             }
         }
+        let watchers = self.listed_watchers();
+        if let Some(listed) = &mut self.listed {
+            listed.watchers = watchers;
+        }
     }
 
     fn reached(&mut self, peer: &Instance) {
--- a/src/process/server.rs
+++ b/src/process/server.rs
@@ -193,11 +193,13 @@
         let (links, socket) = bind_pair(settings.listen.links).await?;
         let addresses = doors.addresses(links.local_addr()?)?;
         let mut me = identity(&settings, addresses.links);
+        let mut restarted = false;
         if interface.configuration.is_some()
             && let Some(store) = &store
             && let Some(former) = directory::former_life(&**store, &me.instance).await
         {
             me.incarnation = me.incarnation.max(id::Incarnation(former.0 + 1));
+            restarted = true;
         }
         let mut core = Core::new(Identity {
             peer: me.clone(),
@@ -206,6 +208,9 @@
         core.seed(settings.seeds.iter().copied());
         if let Some(source) = interface.configuration {
             core.list(source, bounds);
+            if restarted {
+                core.begin_again();
+            }
             core.set_policy(Policy {
                 reroutes: REROUTES,
                 rejections: REJECTIONS,
