--- a/src/process/directory.rs
+++ b/src/process/directory.rs
@@ -108,6 +108,11 @@
         }
     }
 
+    /// Whether the last call failed.
+    fn is_failing(&self) -> bool {
+        self.pause > FIRST_PAUSE
+    }
+
     fn begin(&mut self, now: Time) {
         self.open = true;
         self.sent = now;
@@ -334,7 +339,10 @@
         let Some(lease) = registration.lease else {
             return Some(Call::Grant { ttl: TTL });
         };
-        if registration.written.as_ref() == Some(&self.me) {
+        // While the store turns calls away, the cheapest one finds out when it stops.
+        let written = registration.written.as_ref() == Some(&self.me);
+        let entered = registration.former.is_none();
+        if written || (entered && registration.task.is_failing()) {
             return Some(Call::Renew { lease });
         }
         let value = serde_json::to_string(&self.me).ok()?;
@@ -357,6 +365,10 @@
         match purpose {
             Purpose::Register => {
                 self.registration.answer(now, answer, self.leaving);
+                let written = self.registration.written.as_ref();
+                if !self.registration.task.is_failing() && written.is_some_and(|w| *w != self.me) {
+                    self.hurry(now);
+                }
                 Vec::new()
             }
             Purpose::Watch => {
@@ -403,11 +415,12 @@
                 self.written = None;
                 self.task.succeed(now);
             }
-            Answer::Leased { .. } => {
+            Answer::Leased { .. } if self.written.is_some() => {
                 self.counted.get_or_insert(Counted::Since(now));
                 self.confirm(sent);
                 self.task.succeed(sent + RENEWAL);
             }
+            Answer::Leased { .. } => self.task.succeed(now),
             Answer::Swapped(_) => {
                 if let Some(former) = self.former.take()
                     && former != Revision::default()
--- a/tests/fleet/directory.rs
+++ b/tests/fleet/directory.rs
@@ -262,6 +262,45 @@
         .collect()
 }
 
+/// Guards against a node that the store turns away and that pays the full price for
+/// each try to write its record.
+#[test]
+fn a_node_that_is_turned_away_tries_at_the_lowest_price() {
+    let mut story = Story::new();
+    story.register();
+    story.tick();
+    story.answer(Purpose::Watch, listing(&[peer("me", 5)]));
+    story.now += Span::from_secs(1);
+    story.tick();
+    story.answer(Purpose::Watch, gone("me"));
+    let first = registering(&mut story);
+    assert!(matches!(first, Some(Call::Put { .. })), "{first:?}");
+    story.answer(Purpose::Register, Answer::Lost);
+    for _ in 0..3 {
+        story.now += Span::from_secs(1);
+        let next = registering(&mut story);
+        assert!(matches!(next, Some(Call::Renew { .. })), "{next:?}");
+        story.answer(Purpose::Register, Answer::Lost);
+    }
+    story.now += Span::from_secs(1);
+    story.tick();
+    let (lease, ttl) = (Lease(7), Span::from_secs(6));
+    story.answer(Purpose::Register, Answer::Leased { lease, ttl });
+    assert_eq!(
+        story.directory.member_for(story.now),
+        None,
+        "it has no record"
+    );
+    let then = registering(&mut story);
+    assert!(matches!(then, Some(Call::Put { .. })), "{then:?}");
+}
+
+fn registering(story: &mut Story) -> Option<Call> {
+    let (calls, _) = story.tick();
+    let call = calls.into_iter().find(|(p, _)| *p == Purpose::Register);
+    call.map(|(_, call)| call)
+}
+
 /// Guards against a part of every rate that a node whose record has lapsed no
 /// longer mints, and that nobody else mints either.
 #[test]
