Token servers: the wait they tell counts those who were refused before

While a team is over its rate every node with a call that waits asked again as soon as the next token was due, all for the same one: in a flood at 12 nodes 332 messages a second and node, bytes between domains at Rahma. The wait now counts the wishes that got nothing in the last 100 ms, and Retry-After with it.

--- a/src/process/quota/bank/mint.rs
+++ b/src/process/quota/bank/mint.rs
@@ -39,6 +39,8 @@
 const IDLE: Span = Span::from_secs(5);
 /// How long a wish tells what more important requests will need.
 const DEMAND_MEMORY: Span = Span::from_ms(500);
+/// How long a wish that got nothing counts as one that comes back soon.
+const CONTENTION: Span = Span::from_ms(100);
 /// The part of a bucket that is kept at most for more important requests.
 const RESERVED: u64 = 4;
 /// The longest wait that an answer tells.
@@ -317,11 +319,19 @@
                 true => rest,
                 false => rest - self.put(now, rest),
             },
-            wait: self.wait(now, reserve + MILLI),
+            wait: self.wait(now, reserve + MILLI + self.contended(now, wish.importance)),
             serving: true,
         }
     }
 
+    /// Thousandths for which others that got none will come back before this one.
+    fn contended(&self, now: Time, importance: Importance) -> u64 {
+        let recent = self.answered.iter().rev();
+        let recent = recent.take_while(|wish| now.since(wish.at) <= CONTENTION);
+        let refused = |wish: &&Answered| wish.millis < MILLI && wish.importance >= importance;
+        recent.filter(refused).count() as u64 * MILLI
+    }
+
     /// Gives its part to an earlier server; for how long, and what is in it. While
     /// anything lent out of it may still be used, it lends no more.
     fn give(&mut self, now: Time, right: Time, to: &Instance) -> Option<(Span, u64)> {
