--- a/src/process/quota/bank.rs
+++ b/src/process/quota/bank.rs
@@ -84,7 +84,7 @@
 const PASSED_OVER: Span = Span::from_secs(2);
 /// How long a part is given to an earlier server. One that dies is missed for this
 /// long, until the others mint their own parts again.
-const DELEGATION: Span = Span::from_ms(1000);
+const DELEGATION: Span = Span::from_ms(600);
 /// Time after which a team without demand is forgotten.
 const IDLE: Span = Span::from_secs(30);
 
--- a/src/process/quota/bank/mint.rs
+++ b/src/process/quota/bank/mint.rs
@@ -33,7 +33,7 @@
 /// The time between two requests for parts, and the rest of a part's time at which
 /// it is asked for again. A server that had lent just now gives at the next request.
 const REQUEST_INTERVAL: Span = Span::from_ms(80);
-const RENEWAL: Span = Span::from_ms(650);
+const RENEWAL: Span = Span::from_ms(300);
 const YIELD: Span = Span::from_ms(200);
 /// How long a team must be without wishes before its parts are minted apart again.
 const IDLE: Span = Span::from_secs(5);
--- a/tests/rights/bank.rs
+++ b/tests/rights/bank.rs
@@ -135,3 +135,76 @@
         assert_eq!(fleet.excess(), 0.0, "seed {seed}");
     }
 }
+
+/// The teams of a site of twelve nodes: rate and burst.
+fn twelve() -> Size {
+    let rates = [48, 28, 20, 16, 14, 12, 11, 10];
+    Size {
+        teams: rates.map(|rate| (u64::from(rate), rate)).to_vec(),
+        ..Size::of(12, 8, 12)
+    }
+}
+
+/// Guards against teams that stay a little inside their rates and are refused more
+/// than by one bucket without any delay.
+fn near_the_rate(load: f64, most: f64) {
+    let mut fleet = Fleet::new(twelve(), 7);
+    fleet.run(Span::from_secs(20), load);
+    fleet.run(Span::from_ms(200), 0.0);
+    for (team, served) in fleet.served().iter().enumerate() {
+        let lost = f64::from(served.ideal) - f64::from(served.taken);
+        let lost = lost / f64::from(served.asked);
+        assert!(lost <= most, "team {team}: {lost:.4} of {}", served.asked);
+    }
+    assert_eq!(fleet.excess(), 0.0);
+}
+
+cases! { near_the_rate:
+    at_half_the_rates => (0.5, 0.001),
+    at_four_fifths_of_the_rates => (0.8, 0.02),
+    close_to_the_rates => (0.95, 0.05),
+}
+
+/// Guards against calls that are refused for long when one node dies, at three
+/// fifths of the rates and over all teams.
+fn a_dead_node_costs_the_fleet_little(node: usize) {
+    let mut fleet = Fleet::new(twelve(), 9);
+    fleet.run(Span::from_secs(5), 0.7);
+    fleet.kill(node);
+    fleet.run(Span::from_ms(500), 0.7);
+    fleet.count_anew();
+    fleet.run(Span::from_secs(5), 0.6);
+    let taken: u32 = fleet.served().iter().map(|served| served.taken).sum();
+    let asked: u32 = fleet.served().iter().map(|served| served.asked).sum();
+    let served = f64::from(taken) / f64::from(asked);
+    assert!(served >= 0.95, "{served:.4} of {asked}");
+    assert_eq!(fleet.excess(), 0.0);
+}
+
+cases! { a_dead_node_costs_the_fleet_little:
+    node_0_dies => (0),
+    node_1_dies => (1),
+    node_2_dies => (2),
+    node_3_dies => (3),
+    node_4_dies => (4),
+    node_5_dies => (5),
+    node_6_dies => (6),
+    node_7_dies => (7),
+    node_8_dies => (8),
+    node_9_dies => (9),
+    node_10_dies => (10),
+    node_11_dies => (11),
+}
+
+/// Guards against a node that is cut off from all others and from the store, and
+/// goes on minting beside those that take its place.
+#[test]
+fn a_cut_node_mints_no_more_than_its_part() {
+    for node in 0..12 {
+        let mut fleet = Fleet::new(twelve(), 10);
+        fleet.run(Span::from_secs(3), 1.5);
+        fleet.cut(node, true);
+        fleet.run(Span::from_secs(8), 3.0);
+        assert_eq!(fleet.excess(), 0.0, "node {node}");
+    }
+}
