--- a/src/command/rates.rs
+++ b/src/command/rates.rs
@@ -29,9 +29,9 @@
 /// Nodes, teams, and nodes at which a team's clients are.
 const SIZES: [(usize, usize, usize); 4] = [(12, 8, 8), (70, 78, 8), (195, 140, 8), (1171, 500, 8)];
 /// The part of its rate that every team calls.
-const CALM: f64 = 0.625;
-const FLOOD: f64 = 3.0;
-const LENGTH: Span = Span::from_secs(12);
+const CALM_LOAD: f64 = 0.625;
+const FLOOD_LOAD: f64 = 3.0;
+const SCENE_LENGTH: Span = Span::from_secs(12);
 
 /// What happens to the fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -88,7 +88,7 @@
     messages: f64,
 }
 
-const HEAD: &str =
+const TABLE_HEAD: &str =
     "nodes teams  scene                        refused%  worst%   over  messages/node/s";
 
 impl fmt::Display for Line {
@@ -129,7 +129,7 @@
 
 fn run(json: bool, seed: u64, most: usize) -> Result<(), Failure> {
     if !json {
-        println!("{HEAD}");
+        println!("{TABLE_HEAD}");
     }
     let mut over = 0;
     for (nodes, teams, clients) in SIZES.into_iter().filter(|(nodes, ..)| *nodes <= most) {
@@ -161,7 +161,7 @@
     if scene == Scene::Gathered {
         (0..teams).for_each(|team| fleet.gather(team, team % nodes));
     }
-    fleet.run(Span::from_secs(3), CALM);
+    fleet.run(Span::from_secs(3), CALM_LOAD);
     fleet.count_anew();
     let struck = (0..nodes).step_by(10);
     match scene {
@@ -171,7 +171,11 @@
         Scene::ServersCut => struck.for_each(|node| fleet.cut(node, true)),
         Scene::StoreAway => struck.for_each(|node| fleet.unlist(node, true)),
     }
-    let load = if scene == Scene::Flood { FLOOD } else { CALM };
+    let load = if scene == Scene::Flood {
+        FLOOD_LOAD
+    } else {
+        CALM_LOAD
+    };
     fleet.run(Span::from_secs(5), load);
     if matches!(scene, Scene::ServersCut | Scene::StoreAway) {
         for node in (0..nodes).step_by(10) {
@@ -179,7 +183,7 @@
             fleet.unlist(node, false);
         }
     }
-    fleet.run(LENGTH - Span::from_secs(5), load);
+    fleet.run(SCENE_LENGTH - Span::from_secs(5), load);
     fleet.run(Span::from_ms(200), 0.0);
     Line {
         nodes,
@@ -188,6 +192,6 @@
         refused_percent: fleet.refused() * 100.0,
         worst_percent: fleet.worst() * 100.0,
         excess: fleet.excess(),
-        messages: fleet.messages() as f64 / LENGTH.as_secs_f64() / nodes as f64,
+        messages: fleet.messages() as f64 / SCENE_LENGTH.as_secs_f64() / nodes as f64,
     }
 }
--- a/src/process/directory.rs
+++ b/src/process/directory.rs
@@ -258,12 +258,12 @@
     pub fn minting_until(&self, now: Time) -> Time {
         let joined = self
             .member_for(now)
-            .is_some_and(|span| span >= bank::JOINING);
+            .is_some_and(|span| span >= bank::JOIN_DELAY);
         match (self.registration.confirmed, self.listing.viewed) {
             (Some(confirmed), Some(viewed)) if joined => {
                 // Until a newcomer that is not counted yet may begin to mint.
-                let newcomers = self.newcomers(now).map(|at| at + bank::JOINING);
-                let until = (confirmed + CONFIRMED).min(viewed + bank::FRESH);
+                let newcomers = self.newcomers(now).map(|at| at + bank::JOIN_DELAY);
+                let until = (confirmed + CONFIRMED).min(viewed + bank::MAX_VIEW_AGE);
                 newcomers.fold(until, Time::min)
             }
             _ => Time::ZERO,
@@ -273,13 +273,13 @@
     /// When those began that are not counted yet.
     fn newcomers(&self, now: Time) -> impl Iterator<Item = Time> {
         let joined = self.listing.joined.values().copied();
-        joined.filter(move |at| now < *at + bank::FRESH)
+        joined.filter(move |at| now < *at + bank::MAX_VIEW_AGE)
     }
 
     /// The nodes among which token servers are chosen, by name: those whose record
     /// is in the store, and has been for so long that they may mint.
     ///
-    /// A newcomer does not mint before [`bank::JOINING`]; taking it for a server
+    /// A newcomer does not mint before [`bank::JOIN_DELAY`]; taking it for a server
     /// earlier would leave its part of each rate to nobody. A node whose record has
     /// lapsed mints nothing, although it stays a member for [`GRACE`].
     pub fn counted(&self, now: Time) -> Vec<&Peer> {
@@ -287,12 +287,12 @@
         let me = &self.me.instance;
         let joined = self
             .member_for(now)
-            .is_some_and(|span| span >= bank::JOINING);
+            .is_some_and(|span| span >= bank::JOIN_DELAY);
         let is_counted = |name: &Instance| match name == me {
             true => joined,
             false => {
                 let joined = listing.joined.get(name);
-                let is_new = joined.is_some_and(|at| now < *at + bank::FRESH);
+                let is_new = joined.is_some_and(|at| now < *at + bank::MAX_VIEW_AGE);
                 !is_new && !listing.lapsed.contains_key(name)
             }
         };
--- a/src/process/feed.rs
+++ b/src/process/feed.rs
@@ -54,15 +54,15 @@
 };
 
 /// How long a watcher holds a question for which it has nothing new.
-const HOLD: Span = Span::from_ms(400);
+const MAX_HOLD: Span = Span::from_ms(400);
 /// Time after which an unanswered question is asked elsewhere.
 const ANSWER_TIMEOUT: Span = Span::from_ms(700);
 /// How long a watcher is passed over that did not answer, or had only old word.
 const PASSED_OVER: Span = Span::from_secs(2);
 /// Word of a watcher older than this is old.
-const OLD: Span = Span::from_ms(2500);
+const MAX_WATCHER_AGE: Span = Span::from_ms(2500);
 /// How long a node goes on watching the store after it was last asked.
-const WATCHING: Span = Span::from_secs(3);
+const WATCH_AFTER_QUESTION: Span = Span::from_secs(3);
 /// Values of more bytes than this are packed.
 const PACKED_ABOVE: usize = 4 << 10;
 /// Answers of the store that a watcher keeps.
@@ -116,11 +116,8 @@
 }
 
 impl News {
-    /// The answer with its large values.
-    ///
-    /// # Errors
-    ///
-    /// When a value cannot be unpacked, or is larger than [`frame::LIMIT`].
+    /// The answer with its large values unpacked, each of [`frame::LIMIT`] bytes at
+    /// most.
     fn unpack(mut self) -> Result<Answer> {
         for (key, packed) in &self.packed {
             let mut value = String::new();
@@ -284,7 +281,8 @@
 impl Watcher {
     /// Whether others rely on this node to watch the store.
     pub fn is_asked(&self, now: Time) -> bool {
-        self.asked.is_some_and(|at| now.since(at) < WATCHING)
+        self.asked
+            .is_some_and(|at| now.since(at) < WATCH_AFTER_QUESTION)
     }
 
     /// Whether a topic is known from the store itself.
@@ -350,7 +348,7 @@
             let mut topics = held.after.iter();
             topics.any(|(topic, after)| logs.get(topic).is_some_and(|log| log.has_news(*after)))
         };
-        let is_due = |held: &mut Held| now.since(held.since) >= HOLD || has_news(held);
+        let is_due = |held: &mut Held| now.since(held.since) >= MAX_HOLD || has_news(held);
         let due = self.held.extract_if(.., is_due);
         let replies = due.map(|held| {
             let topics = held.after.iter();
@@ -481,7 +479,7 @@
         let mut words = Vec::new();
         let mut is_poor = news.len() < open.topics;
         for (topic, news) in news {
-            is_poor |= news.age > OLD;
+            is_poor |= news.age > MAX_WATCHER_AGE;
             let answered = (open.sent + held).min(now);
             let age = news.age.as_ms().min(answered.as_ms());
             let Ok(answer) = news.unpack() else {
--- a/src/process/node/listed.rs
+++ b/src/process/node/listed.rs
@@ -121,14 +121,14 @@
 }
 
 /// Watchers of a domain in the order in which the others ask them.
-const WATCHERS: usize = 3;
+const WATCHER_CANDIDATES: usize = 3;
 /// Purpose of the choice of watchers.
-const WATCHER: u64 = 0x3a7c;
+const WATCHER_HASH_SEED: u64 = 0x3a7c;
 
 /// How long a node that begins waits for others of its domain to be listed.
 /// Without them it watches the store itself, so a fleet that begins together
 /// would ask it in everybody's name.
-const ALONE: Span = Span::from_ms(400);
+const START_DELAY: Span = Span::from_ms(400);
 
 /// What a listed node keeps.
 #[derive(Debug)]
@@ -157,7 +157,7 @@
     /// Whether others of this domain may be listed at any moment.
     fn is_early(&self, now: Time) -> bool {
         let begun = self.begun.unwrap_or(now);
-        self.watchers.len() <= 1 && !self.restarted && now.since(begun) < ALONE
+        self.watchers.len() <= 1 && !self.restarted && now.since(begun) < START_DELAY
     }
 }
 
@@ -366,7 +366,11 @@
     fn listed_watchers(&self) -> Vec<Instance> {
         let own = &self.identity.peer;
         let fit = |peer: &&Peer| peer.domain == own.domain && peer.status == Status::Alive;
-        let best = member::ranked(self.members.iter().filter(fit), WATCHER, WATCHERS);
+        let best = member::ranked(
+            self.members.iter().filter(fit),
+            WATCHER_HASH_SEED,
+            WATCHER_CANDIDATES,
+        );
         best.into_iter().map(|peer| peer.instance.clone()).collect()
     }
 
--- a/src/process/quota/bank.rs
+++ b/src/process/quota/bank.rs
@@ -11,7 +11,7 @@
 //! # Why no window of time sees more than rate and burst
 //!
 //! A node mints only while its own record in the store is confirmed, has been
-//! there for [`JOINING`], and its view of all records is younger than [`FRESH`].
+//! there for [`JOIN_DELAY`], and its view of all records is younger than [`MAX_VIEW_AGE`].
 //! So at any moment the nodes that mint for a team have all been listed for
 //! longer than any of their views is old, and each of them sees all the others.
 //! The last of them in the order of choice sees the others before itself, and
@@ -75,18 +75,18 @@
 };
 
 /// How old the view of the listed nodes may be for a node that mints.
-pub const FRESH: Span = Span::from_secs(4);
+pub const MAX_VIEW_AGE: Span = Span::from_secs(4);
 /// How long a node must have been listed before it mints.
-pub const JOINING: Span = Span::from_ms(4500);
+pub const JOIN_DELAY: Span = Span::from_ms(4500);
 /// A server that left so many wishes in a row unanswered is passed over, and for
 /// how long. A single message may be lost.
 const SILENT_AFTER: u32 = 2;
-const PASSED_OVER: Span = Span::from_secs(2);
+const SILENT_SERVER_TIMEOUT: Span = Span::from_secs(2);
 /// How long a part is given to an earlier server. One that dies is missed for this
 /// long, until the others mint their own parts again.
-const DELEGATION: Span = Span::from_ms(600);
+const DELEGATION_LIFE: Span = Span::from_ms(600);
 /// Time after which a team without demand is forgotten.
-const IDLE: Span = Span::from_secs(30);
+const ACCOUNT_IDLE_TIMEOUT: Span = Span::from_secs(30);
 
 /// Wishes that a server left unanswered since its last answer.
 #[derive(Clone, Copy, Debug)]
@@ -97,7 +97,7 @@
 
 impl Silence {
     fn is_passed_over(self, now: Time) -> bool {
-        self.wishes >= SILENT_AFTER && now.since(self.last) < PASSED_OVER
+        self.wishes >= SILENT_AFTER && now.since(self.last) < SILENT_SERVER_TIMEOUT
     }
 }
 
@@ -306,9 +306,9 @@
     /// team wait here.
     pub fn tick(&mut self, now: Time, waiting: &BTreeMap<Team, Waiting>) -> Vec<Team> {
         self.silent
-            .retain(|_, silence| now.since(silence.last) < PASSED_OVER);
+            .retain(|_, silence| now.since(silence.last) < SILENT_SERVER_TIMEOUT);
         self.accounts
-            .retain(|_, account| !account.is_idle(now, IDLE));
+            .retain(|_, account| !account.is_idle(now, ACCOUNT_IDLE_TIMEOUT));
         let mut back: BTreeMap<Instance, Vec<(Team, u64)>> = BTreeMap::new();
         let mut wanting = Vec::new();
         for (team, account) in &mut self.accounts {
@@ -346,7 +346,7 @@
 
     fn want_parts(&mut self, now: Time) {
         self.asked_parts
-            .retain(|_, asked| now.since(*asked) < DELEGATION);
+            .retain(|_, asked| now.since(*asked) < DELEGATION_LIFE);
         for (server, teams) in self.mint.wanted_parts(now) {
             self.next_number += 1;
             self.asked_parts.insert(self.next_number, now);
--- a/src/process/quota/bank/account.rs
+++ b/src/process/quota/bank/account.rs
@@ -22,11 +22,11 @@
 const WAITED_LIFE: Span = Span::from_ms(40);
 const AHEAD_LIFE: Span = Span::from_ms(150);
 /// Time before the end of a loan at which the rest is given back.
-const RETURN: Span = Span::from_ms(20);
+const RETURN_BEFORE_END: Span = Span::from_ms(20);
 /// A node borrows when what it holds lasts no longer than this many seconds.
-const RESERVE: f64 = 0.1;
+const RESERVE_SECONDS: f64 = 0.1;
 /// It borrows ahead for so many seconds of its demand.
-const AHEAD: f64 = 0.1;
+const PREFETCH_SECONDS: f64 = 0.1;
 /// An unanswered wish is given up after this.
 pub(super) const ANSWER_TIMEOUT: Span = Span::from_ms(60);
 /// The least and the longest time before a server without tokens is asked again.
@@ -35,16 +35,16 @@
 /// The time before a server is asked again that mints nothing now.
 const NOT_SERVING_PAUSE: Span = Span::from_ms(250);
 /// How long the refusal of a server proves that a team is over its rate.
-const OVER: Span = Span::from_ms(500);
+const OVER_RATE_MEMORY: Span = Span::from_ms(500);
 /// How often demand is measured, and the weight of the newest measurement.
 const DEMAND_WINDOW: Span = Span::from_ms(200);
 const DEMAND_EWMA_WEIGHT: f64 = 0.3;
 
-const IMPORTANCES: usize = Importance::ALL.len();
+const IMPORTANCE_COUNT: usize = Importance::ALL.len();
 
 /// Calls that wait for a token, by their importance.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Waiting([u32; IMPORTANCES]);
+pub struct Waiting([u32; IMPORTANCE_COUNT]);
 
 impl Waiting {
     /// Adds one.
@@ -106,7 +106,7 @@
 struct Server {
     instance: Instance,
     /// Until when asking is of no use, by importance.
-    pause: [Time; IMPORTANCES],
+    pause: [Time; IMPORTANCE_COUNT],
     /// When it last had no token, and when it will have one.
     empty: Option<(Time, Time)>,
     /// When it last said that it mints none.
@@ -225,7 +225,11 @@
             .iter()
             .partition(|server| is_silent(&server.instance));
         // A silent one may still have what no other mints.
-        let is_idle = |server: &&Server| server.idle.is_some_and(|at| now.since(at) <= OVER);
+        let is_idle = |server: &&Server| {
+            server
+                .idle
+                .is_some_and(|at| now.since(at) <= OVER_RATE_MEMORY)
+        };
         let silent = match speaking.iter().all(is_idle) {
             true => silent,
             false => Vec::new(),
@@ -257,7 +261,7 @@
     /// wait, else ahead. Nothing is borrowed ahead that would likely not be used in
     /// time, or while servers have none.
     fn wants(&self, now: Time) -> Option<(Importance, u32)> {
-        let ahead = self.demand * AHEAD;
+        let ahead = self.demand * PREFETCH_SECONDS;
         let scarce = self.servers.iter().any(|server| {
             let low = server.pause[Importance::Low as usize];
             now < low
@@ -270,7 +274,7 @@
                 return Some((importance, waiting - held + more));
             }
         }
-        let low = f64::from(self.held(now, Importance::Critical)) < self.demand * RESERVE;
+        let low = f64::from(self.held(now, Importance::Critical)) < self.demand * RESERVE_SECONDS;
         let likely = ahead >= 1.0 && low && !scarce && self.waiting.is_empty();
         likely.then_some((Importance::Low, ahead as u32))
     }
@@ -312,7 +316,7 @@
     /// whose requests were not run, and a fraction that no server asked for.
     pub(super) fn surplus(&mut self, now: Time) -> Vec<(Instance, u64)> {
         let mut back = Vec::new();
-        let over = |loan: &mut Loan| loan.tokens == 0 || now + RETURN >= loan.end;
+        let over = |loan: &mut Loan| loan.tokens == 0 || now + RETURN_BEFORE_END >= loan.end;
         for loan in self.loans.extract_if(.., over) {
             if loan.tokens > 0 && now < loan.end {
                 back.push((loan.server, u64::from(loan.tokens) * MILLI));
@@ -349,7 +353,7 @@
     fn new(instance: Instance) -> Self {
         Self {
             instance,
-            pause: [Time::ZERO; IMPORTANCES],
+            pause: [Time::ZERO; IMPORTANCE_COUNT],
             empty: None,
             idle: None,
         }
@@ -358,7 +362,9 @@
     /// Whether it had no token lately, or none that it might mint.
     fn is_spent(&self, now: Time) -> bool {
         let empty = self.empty.map(|(at, _)| at);
-        empty.max(self.idle).is_some_and(|at| now.since(at) <= OVER)
+        empty
+            .max(self.idle)
+            .is_some_and(|at| now.since(at) <= OVER_RATE_MEMORY)
     }
 
     fn answered(&mut self, now: Time, importance: Importance, lent: Lent) {
--- a/src/process/quota/bank/mint.rs
+++ b/src/process/quota/bank/mint.rs
@@ -6,7 +6,7 @@
 };
 
 use super::{
-    DELEGATION, Delegated,
+    DELEGATION_LIFE, Delegated,
     message::{
         Lent,
         Wish, //
@@ -33,16 +33,16 @@
 /// The time between two requests for parts, and the rest of a part's time at which
 /// it is asked for again. A server that had lent just now gives at the next request.
 const REQUEST_INTERVAL: Span = Span::from_ms(80);
-const RENEWAL: Span = Span::from_ms(300);
-const YIELD: Span = Span::from_ms(200);
+const DELEGATION_RENEWAL: Span = Span::from_ms(300);
+const YIELD_TIME: Span = Span::from_ms(200);
 /// How long a team must be without wishes before its parts are minted apart again.
-const IDLE: Span = Span::from_secs(5);
+const DELEGATION_IDLE_TIMEOUT: Span = Span::from_secs(5);
 /// How long a wish tells what more important requests will need.
 const DEMAND_MEMORY: Span = Span::from_ms(500);
 /// How long a wish that got nothing counts as one that comes back soon.
-const CONTENTION: Span = Span::from_ms(100);
+const CONTENTION_WINDOW: Span = Span::from_ms(100);
 /// The part of a bucket that is kept at most for more important requests.
-const RESERVED: u64 = 4;
+const MAX_RESERVE_DIVISOR: u64 = 4;
 /// The longest wait that an answer tells.
 const LONGEST_WAIT: Span = Span::from_secs(5);
 
@@ -149,12 +149,12 @@
         }
         self.next_request = now + REQUEST_INTERVAL;
         for (team, stock) in &self.stocks {
-            if !stock.is_serving(now) || now.since(stock.asked) >= IDLE {
+            if !stock.is_serving(now) || now.since(stock.asked) >= DELEGATION_IDLE_TIMEOUT {
                 continue;
             }
             let lasts = |server: &&Instance| {
                 let until = stock.others.get(*server);
-                until.is_some_and(|until| *until > now + RENEWAL)
+                until.is_some_and(|until| *until > now + DELEGATION_RENEWAL)
             };
             for server in stock.share.later.iter().filter(|server| !lasts(server)) {
                 wanted.entry(server.clone()).or_default().push(team.clone());
@@ -327,7 +327,7 @@
     /// Thousandths for which others that got none will come back before this one.
     fn contended(&self, now: Time, importance: Importance) -> u64 {
         let recent = self.answered.iter().rev();
-        let recent = recent.take_while(|wish| now.since(wish.at) <= CONTENTION);
+        let recent = recent.take_while(|wish| now.since(wish.at) <= CONTENTION_WINDOW);
         let refused = |wish: &&Answered| wish.millis < MILLI && wish.importance >= importance;
         recent.filter(refused).count() as u64 * MILLI
     }
@@ -342,7 +342,7 @@
         }
         let usable = |wish: &Answered| wish.millis > 0 && now.since(wish.at) <= wish.life;
         if self.answered.iter().any(usable) {
-            self.yielding_until = now + YIELD;
+            self.yielding_until = now + YIELD_TIME;
             return None;
         }
         let millis = match is_given {
@@ -353,7 +353,7 @@
                 self.bucket.millis()
             }
         };
-        let until = right.min(now + DELEGATION);
+        let until = right.min(now + DELEGATION_LIFE);
         self.given_until = self.given_until.max(until);
         self.given_to = Some(to.clone());
         self.yielding_until = Time::ZERO;
@@ -375,7 +375,7 @@
     fn reserve(&self, now: Time, importance: Importance) -> u64 {
         let above = self.answered.iter().filter(|a| a.importance > importance);
         let wanted: u64 = above.map(|answered| u64::from(answered.wanted)).sum();
-        (wanted * MILLI).min(self.cap(now) / RESERVED)
+        (wanted * MILLI).min(self.cap(now) / MAX_RESERVE_DIVISOR)
     }
 
     fn forget(&mut self, now: Time) {
--- a/src/standin/rates.rs
+++ b/src/standin/rates.rs
@@ -35,8 +35,8 @@
         Bucket, Charge,
         bank::{
             Bank,
-            FRESH,
-            JOINING,
+            JOIN_DELAY,
+            MAX_VIEW_AGE,
             Message,
             Waiting, //
         },
@@ -49,16 +49,16 @@
 };
 
 /// One way within a failure domain and between two, as on the largest site.
-const NEAR: Span = Span::from_ms(1);
-const FAR: Span = Span::from_ms(3);
+const NEAR_DELAY: Span = Span::from_ms(1);
+const FAR_DELAY: Span = Span::from_ms(3);
 /// How long a call waits for a token.
 const TOKEN_WAIT: Span = Span::from_ms(150);
-const TICK: u64 = 10;
-const REFRESH: u64 = 100;
+const TICK_MS: u64 = 10;
+const REFRESH_MS: u64 = 100;
 /// How long a record outlives its node, and how long a node counts itself in.
-const RECORD: Span = Span::from_secs(6);
+const RECORD_TTL: Span = Span::from_secs(6);
 const CONFIRMED: Span = Span::from_secs(4);
-const DOMAINS: usize = 5;
+const DOMAIN_COUNT: usize = 5;
 /// When the fleet begins: after whatever times are looked back to.
 const BEGIN: Time = Time::from_ms(60_000);
 
@@ -174,7 +174,7 @@
             cut: false,
             unlisted: false,
             since: Time::ZERO,
-            record: BEGIN + RECORD,
+            record: BEGIN + RECORD_TTL,
             view: Vec::new(),
             viewed: BEGIN,
             next_view: BEGIN,
@@ -228,7 +228,7 @@
                     self.call(team);
                 }
             }
-            if self.now.as_ms().is_multiple_of(TICK) {
+            if self.now.as_ms().is_multiple_of(TICK_MS) {
                 (0..self.nodes.len()).for_each(|node| self.tick(node));
             }
         }
@@ -264,7 +264,7 @@
         }
         restarted.bank = bank;
         restarted.alive = true;
-        restarted.record = self.now + RECORD;
+        restarted.record = self.now + RECORD_TTL;
         restarted.next_view = self.now;
     }
 
@@ -349,7 +349,7 @@
             return;
         }
         self.view(node);
-        if self.now.as_ms().is_multiple_of(REFRESH) {
+        if self.now.as_ms().is_multiple_of(REFRESH_MS) {
             self.adopt(node);
         }
         let now = self.now;
@@ -378,10 +378,10 @@
         if looking.record <= now {
             looking.since = now;
         }
-        looking.record = now + RECORD;
+        looking.record = now + RECORD_TTL;
         looking.viewed = now;
-        let lag = self.size.lag.as_ms().max(TICK);
-        looking.next_view = now + Span::from_ms(self.rng.random_range(TICK..=lag));
+        let lag = self.size.lag.as_ms().max(TICK_MS);
+        looking.next_view = now + Span::from_ms(self.rng.random_range(TICK_MS..=lag));
         let records = self.nodes.iter().enumerate();
         let listed = records.filter(|(_, other)| other.record > now);
         self.nodes[node].view = listed.map(|(n, other)| (n, other.since)).collect();
@@ -391,16 +391,16 @@
     fn adopt(&mut self, node: usize) {
         let now = self.now;
         let adopting = &self.nodes[node];
-        let is_new = |since: Time| now.since(since) < FRESH;
-        let mut until = adopting.viewed + CONFIRMED.min(FRESH);
+        let is_new = |since: Time| now.since(since) < MAX_VIEW_AGE;
+        let mut until = adopting.viewed + CONFIRMED.min(MAX_VIEW_AGE);
         let mut counted = Vec::new();
         for (other, since) in &adopting.view {
             match is_new(*since) {
-                true => until = until.min(*since + JOINING),
+                true => until = until.min(*since + JOIN_DELAY),
                 false => counted.push(&self.peers[*other]),
             }
         }
-        if now.since(adopting.since) < JOINING {
+        if now.since(adopting.since) < JOIN_DELAY {
             until = Time::ZERO;
         }
         self.nodes[node].bank.adopt(now, until, &counted);
@@ -482,8 +482,8 @@
             let to = self.position(&to);
             self.sent += 1;
             let delay = match self.peers[node].domain == self.peers[to].domain {
-                true => NEAR,
-                false => FAR,
+                true => NEAR_DELAY,
+                false => FAR_DELAY,
             };
             let lost = self.size.loss > 0.0 && self.rng.random_bool(self.size.loss);
             if !lost {
@@ -519,7 +519,7 @@
 
 fn peer(number: usize) -> Peer {
     let name = format!("node-{number:05}");
-    let domain = format!("domain-{}", number % DOMAINS);
+    let domain = format!("domain-{}", number % DOMAIN_COUNT);
     let address = ([127, 0, 0, 1], 7000).into();
     Peer {
         instance: name.parse::<Instance>().expect("a name"),
--- a/tests/fleet/directory.rs
+++ b/tests/fleet/directory.rs
@@ -327,7 +327,7 @@
     story.tick();
     story.answer(Purpose::Watch, listing(std::slice::from_ref(&me)));
     let begun = story.now;
-    while story.now.since(begun) < bank::JOINING {
+    while story.now.since(begun) < bank::JOIN_DELAY {
         story.now += Span::from_secs(1);
         story.tick();
         story.answer(
@@ -350,8 +350,11 @@
     story.answer(Purpose::Watch, listing(&[me, peer("new", 1)]));
     assert_eq!(counted(&story), ["me"], "it does not mint yet");
     let until = story.directory.minting_until(story.now);
-    assert!(until <= asked + bank::JOINING, "the newcomer may mint then");
-    story.now = asked + bank::FRESH;
+    assert!(
+        until <= asked + bank::JOIN_DELAY,
+        "the newcomer may mint then"
+    );
+    story.now = asked + bank::MAX_VIEW_AGE;
     story.tick();
     let (lease, ttl) = (Lease(7), Span::from_secs(6));
     story.answer(Purpose::Register, Answer::Leased { lease, ttl });
--- a/tests/rights/bank.rs
+++ b/tests/rights/bank.rs
@@ -9,13 +9,13 @@
 };
 
 /// What teams ask for in ordinary times, as a part of their rates.
-const CALM: f64 = 0.625;
+const CALM_LOAD: f64 = 0.625;
 /// Wrongful refusals that are allowed in ordinary times.
 const CALM_REFUSED: f64 = 0.001;
 
 fn settled(size: Size, seed: u64) -> Fleet {
     let mut fleet = Fleet::new(size, seed);
-    fleet.run(Span::from_secs(3), CALM);
+    fleet.run(Span::from_secs(3), CALM_LOAD);
     fleet.count_anew();
     fleet
 }
@@ -24,7 +24,7 @@
 /// few tokens lie at nodes that their clients do not ask.
 fn calm(size: Size) {
     let mut fleet = settled(size, 7);
-    fleet.run(Span::from_secs(12), CALM);
+    fleet.run(Span::from_secs(12), CALM_LOAD);
     // The last calls are answered.
     fleet.run(Span::from_ms(200), 0.0);
     let refused = fleet.refused();
@@ -81,7 +81,7 @@
     let mut fleet = settled(Size::of(70, 8, 8), 9);
     let server = fleet.server(0);
     fleet.kill(server);
-    fleet.run(Span::from_ms(1200), CALM);
+    fleet.run(Span::from_ms(1200), CALM_LOAD);
     fleet.count_anew();
     fleet.run(Span::from_secs(6), 0.4);
     let refused = fleet.served()[0].refused();
@@ -98,7 +98,7 @@
         ..Size::of(70, 78, 8)
     };
     let mut fleet = settled(size, 10);
-    fleet.run(Span::from_secs(12), CALM);
+    fleet.run(Span::from_secs(12), CALM_LOAD);
     let refused = fleet.refused();
     assert!(refused <= 0.01, "{refused:.4} refused");
     assert_eq!(fleet.excess(), 0.0);
