--- a/src/process/directory.rs
+++ b/src/process/directory.rs
@@ -10,6 +10,9 @@
 //! once. A member whose record is gone stays for [`GRACE`], in which a living
 //! one enters itself again.
 
+mod listing;
+mod registration;
+
 use std::collections::BTreeMap;
 
 use crate::{
@@ -23,15 +26,11 @@
         Lease,
         Revision, //
     },
-    member::{
-        Peer,
-        Status, //
-    },
+    member::Peer,
     quota::bank,
     store::{
         Answer,
         Call,
-        Entry,
         Store, //
     },
 };
@@ -401,189 +400,6 @@
     }
 }
 
-impl Registration {
-    fn answer(&mut self, now: Time, answer: Answer, leaving: bool) {
-        let sent = self.task.sent;
-        let writing = self.writing.take();
-        if leaving {
-            self.lease = None;
-            return self.task.succeed(now + RENEWAL);
-        }
-        match answer {
-            Answer::Leased { lease, .. } if self.lease.is_none() => {
-                self.lease = Some(lease);
-                self.written = None;
-                self.task.succeed(now);
-            }
-            Answer::Leased { .. } if self.written.is_some() => {
-                self.counted.get_or_insert(Counted::Since(now));
-                self.confirm(sent);
-                self.task.succeed(sent + RENEWAL);
-            }
-            Answer::Leased { .. } => self.task.succeed(now),
-            Answer::Swapped(_) => {
-                if let Some(former) = self.former.take()
-                    && former != Revision::default()
-                {
-                    self.counted = Some(Counted::Always);
-                }
-                self.written = writing;
-                self.counted.get_or_insert(Counted::Since(now));
-                self.confirm(sent);
-                self.task.succeed(sent + RENEWAL);
-            }
-            Answer::Conflict(present) => {
-                self.conflict(writing.as_ref(), present);
-                self.task.succeed(now);
-            }
-            Answer::Expired => {
-                self.lease = None;
-                self.written = None;
-                self.counted = None;
-                self.task.succeed(now);
-            }
-            // A write that was lost may have taken effect; it is written again,
-            // which does no harm.
-            _ => self.task.fail(now),
-        }
-    }
-
-    /// The first write found another record than it expected: that of the life
-    /// before, or its own, if an earlier try took effect without an answer.
-    /// Which of the two was replaced then is not known, so it proves nothing.
-    fn conflict(&mut self, writing: Option<&Peer>, present: Option<Entry>) {
-        let Some(present) = present else {
-            self.former = Some(Revision::default());
-            return;
-        };
-        let record = peer(&present.key, &present.value);
-        let own = record.is_some_and(|record| {
-            writing.is_some_and(|writing| record.incarnation == writing.incarnation)
-        });
-        self.former = (!own).then_some(present.revision);
-    }
-
-    fn confirm(&mut self, sent: Time) {
-        self.confirmed = self.confirmed.max(Some(sent));
-    }
-}
-
-impl Listing {
-    fn answer(&mut self, now: Time, answer: Answer) -> Vec<Change> {
-        match answer {
-            Answer::Listing { entries, at } => {
-                let former = self.viewed;
-                self.viewed = former.max(Some(self.task.sent));
-                self.after = Some(at);
-                self.task.succeed(now);
-                let there: Vec<_> = entries
-                    .iter()
-                    .filter_map(|entry| peer(&entry.key, &entry.value))
-                    .collect();
-                self.absent(now, &there);
-                there
-                    .into_iter()
-                    .filter_map(|peer| self.put(peer, former))
-                    .collect()
-            }
-            Answer::Changes { changes, at } => {
-                let former = self.viewed;
-                self.viewed = former.max(Some(self.task.sent));
-                self.after = Some(at);
-                self.task.succeed(now + SETTLE);
-                let mut news = Vec::new();
-                for change in changes {
-                    match change.entry {
-                        Some(entry) => {
-                            let peer = peer(&entry.key, &entry.value);
-                            news.extend(peer.and_then(|peer| self.put(peer, former)));
-                        }
-                        None => self.lapse(now, &change.key),
-                    }
-                }
-                news
-            }
-            Answer::Forgotten => {
-                self.after = None;
-                self.task.succeed(now);
-                Vec::new()
-            }
-            _ => {
-                self.after = None;
-                self.task.fail(now);
-                Vec::new()
-            }
-        }
-    }
-
-    /// Members that a fresh look does not show have lapsed.
-    fn absent(&mut self, now: Time, there: &[Peer]) {
-        let is_there = |name: &Instance| there.iter().any(|peer| peer.instance == *name);
-        let gone: Vec<_> = self
-            .members
-            .keys()
-            .filter(|name| !is_there(name))
-            .cloned()
-            .collect();
-        for name in gone {
-            self.lapsed.entry(name).or_insert(now);
-        }
-    }
-
-    fn lapse(&mut self, now: Time, key: &str) {
-        let name = key.strip_prefix(PREFIX).and_then(|name| name.parse().ok());
-        if let Some(name) = name
-            && self.members.contains_key(&name)
-        {
-            self.lapsed.entry(name).or_insert(now);
-        }
-    }
-
-    /// A record is news unless it is of an earlier life: a lost write may take
-    /// effect after its node was replaced.
-    fn put(&mut self, peer: Peer, former: Option<Time>) -> Option<Change> {
-        let known = self.members.get(&peer.instance);
-        if known.is_some_and(|known| known.incarnation > peer.incarnation) {
-            self.overwritten.push(peer.instance);
-            return None;
-        }
-        let is_new = known.is_none() || self.lapsed.contains_key(&peer.instance);
-        if is_new && let Some(former) = former {
-            self.joined.insert(peer.instance.clone(), former);
-        }
-        self.lapsed.remove(&peer.instance);
-        if known == Some(&peer) {
-            return None;
-        }
-        self.members.insert(peer.instance.clone(), peer.clone());
-        Some(Change::Present(peer))
-    }
-
-    /// Takes out members whose record has been gone for long enough. One that
-    /// said that it leaves took its record away itself, and is gone at once.
-    fn bury(&mut self, now: Time) -> Vec<Change> {
-        let left = |name: &Instance| {
-            let member = self.members.get(name);
-            member.is_some_and(|member| member.status == Status::Leaving)
-        };
-        let over = |name: &Instance, at: &Time| left(name) || now.since(*at) >= GRACE;
-        let gone: Vec<_> = self
-            .lapsed
-            .iter()
-            .filter(|(name, at)| over(name, at))
-            .map(|(name, _)| name.clone())
-            .collect();
-        gone.into_iter()
-            .map(|name| {
-                self.lapsed.remove(&name);
-                self.joined.remove(&name);
-                self.members.remove(&name);
-                Change::Gone(name)
-            })
-            .collect()
-    }
-}
-
 /// The life of an instance that its record in the store speaks of; none when
 /// there is no record, or no word of the store within [`FORMER`].
 ///
@@ -603,15 +419,7 @@
 
 /// The question to the store for what has changed since a revision.
 pub fn question(after: Option<Revision>) -> Call {
-    let prefix = PREFIX.to_owned();
-    match after {
-        None => Call::Read { prefix },
-        Some(after) => Call::Follow {
-            prefix,
-            after,
-            wait: WAIT,
-        },
-    }
+    Call::changes(PREFIX, after, WAIT)
 }
 
 fn record_key(instance: &Instance) -> String {
--- a/src/process/node/listed.rs
+++ b/src/process/node/listed.rs
@@ -1,6 +1,9 @@
 //! A node among others that the store lists: members, configuration and rates
 //! without gossip, leases of rights or records.
 
+mod inquiry;
+mod tokens;
+
 use std::collections::BTreeMap;
 
 use super::{
@@ -16,13 +19,11 @@
     },
     code::Code,
     directory::{
-        self,
         Change,
         Directory,
         Purpose, //
     },
     feed::{
-        self,
         Subscriber,
         Topic,
         Watcher, //
@@ -31,7 +32,6 @@
         Follower,
         News, //
     },
-    frame::Frame,
     id::{
         Instance,
         Revision,
@@ -40,16 +40,11 @@
     ingress,
     interface::Source,
     member::{
-        self,
         Peer,
         Status, //
     },
-    message::Message,
     metric::Counter,
-    quota::{
-        Bank,
-        bank, //
-    },
+    quota::Bank,
     retry::Terms,
     store, //
 };
@@ -287,93 +282,6 @@
         self.tokens_tick(now, out);
     }
 
-    /// Asks a watcher of this domain for what is wanted to know, or else the store.
-    fn inquire(&mut self, now: Time, listed: &mut Listed, out: &mut Vec<Action>) {
-        let me = &self.identity.peer.instance;
-        listed.subscriber.expire(now);
-        let watchers = listed.watchers.iter();
-        let chosen = listed.subscriber.choose(now, watchers);
-        let chosen = chosen.filter(|chosen| *chosen != me && !listed.watcher.is_asked(now));
-        let chosen = chosen.cloned();
-        if chosen != listed.source {
-            out.push(Action::Note(Note::Source(chosen.clone())));
-            listed.source.clone_from(&chosen);
-        }
-        if let Some(chosen) = chosen {
-            if let Some(question) = listed.subscriber.ask(now, me, &chosen) {
-                listed.watcher.rest();
-                out.push(control(chosen, Message::Feed(question)));
-            }
-        } else if !listed.is_early(now) {
-            for (topic, after) in listed.subscriber.give_up() {
-                let after = after.filter(|_| listed.watcher.knows(topic));
-                let call = match topic {
-                    Topic::Members => directory::question(after),
-                    Topic::Configuration => listed.follower.question(after),
-                };
-                let number = self.ask(Asker::Listed, call, out);
-                let sent = now;
-                let task = Task::Follow { topic, after, sent };
-                listed.asked.insert(number, task);
-            }
-        }
-        let me = &self.identity.peer.instance;
-        for (to, reply) in listed.watcher.replies(now, me) {
-            out.push(control(to, Message::Feed(reply)));
-        }
-    }
-
-    /// Takes a message between a watcher and the nodes that ask it.
-    pub(super) fn feed(&mut self, now: Time, message: feed::Message, out: &mut Vec<Action>) {
-        let Some(listed) = &mut self.listed else {
-            return;
-        };
-        match message {
-            feed::Message::Question {
-                from,
-                number,
-                after,
-            } => listed.watcher.ask(now, from, number, after),
-            feed::Message::Reply {
-                number, held, news, ..
-            } => {
-                for word in listed.subscriber.reply(now, number, held, news) {
-                    self.told(now, word, out);
-                }
-            }
-        }
-        self.listed_tick(now, out);
-    }
-
-    /// Takes what a watcher says of the store.
-    fn told(&mut self, now: Time, word: feed::Word, out: &mut Vec<Action>) {
-        let Some(listed) = &mut self.listed else {
-            return;
-        };
-        match word.topic {
-            Topic::Members => {
-                let changes = listed.directory.told(now, word.confirmed, word.answer);
-                self.listed_changes(now, changes, out);
-            }
-            Topic::Configuration => {
-                let news = listed.follower.told(now, word.confirmed, word.answer);
-                self.listed_news(now, news, out);
-            }
-        }
-    }
-
-    /// The members of this domain that watch the store, best first.
-    fn listed_watchers(&self) -> Vec<Instance> {
-        let own = &self.identity.peer;
-        let fit = |peer: &&Peer| peer.domain == own.domain && peer.status == Status::Alive;
-        let best = member::ranked(
-            self.members.iter().filter(fit),
-            WATCHER_HASH_SEED,
-            WATCHER_CANDIDATES,
-        );
-        best.into_iter().map(|peer| peer.instance.clone()).collect()
-    }
-
     /// What follows from members and time.
     fn refresh(&mut self, now: Time, out: &mut Vec<Action>) {
         let watchers = self.listed_watchers();
@@ -404,36 +312,6 @@
         });
     }
 
-    fn tokens_tick(&mut self, now: Time, out: &mut Vec<Action>) {
-        let waiting = self.router.charging();
-        let Some(bank) = self.quota.bank() else {
-            return;
-        };
-        for team in bank.tick(now, &waiting) {
-            self.ingress(now, ingress::Event::Quota(team), out);
-        }
-        self.send_tokens(out);
-    }
-
-    pub(super) fn send_tokens(&mut self, out: &mut Vec<Action>) {
-        let Some(bank) = self.quota.bank() else {
-            return;
-        };
-        for (to, message) in bank.outbox() {
-            self.tell(&to, Message::Bank(message), out);
-        }
-    }
-
-    pub(super) fn tokens(&mut self, now: Time, message: bank::Message, out: &mut Vec<Action>) {
-        let Some(bank) = self.quota.bank() else {
-            return;
-        };
-        if let Some(team) = bank.on(now, message) {
-            self.ingress(now, ingress::Event::Quota(team), out);
-        }
-        self.send_tokens(out);
-    }
-
     pub(super) fn listed_store(
         &mut self,
         now: Time,
@@ -594,8 +472,3 @@
         listed.directory.has_left() || now.since(left) >= LEAVE
     }
 }
-
-/// A message that must not be lost, over the link to a peer.
-fn control(to: Instance, message: Message) -> Action {
-    Action::Frame(to, Frame::Control(Box::new(message)))
-}
--- /dev/null
+++ b/src/process/node/listed/tokens.rs
@@ -0,0 +1,49 @@
+//! How a listed node carries the messages of token servers.
+
+use crate::{
+    clock::Time,
+    ingress,
+    message::Message,
+    node::{
+        Action,
+        Core, //
+    },
+    quota::bank, //
+};
+
+impl Core {
+    pub(super) fn tokens_tick(&mut self, now: Time, out: &mut Vec<Action>) {
+        let waiting = self.router.charging();
+        let Some(bank) = self.quota.bank() else {
+            return;
+        };
+        for team in bank.tick(now, &waiting) {
+            self.ingress(now, ingress::Event::Quota(team), out);
+        }
+        self.send_tokens(out);
+    }
+
+    pub(in crate::process::node) fn send_tokens(&mut self, out: &mut Vec<Action>) {
+        let Some(bank) = self.quota.bank() else {
+            return;
+        };
+        for (to, message) in bank.outbox() {
+            self.tell(&to, Message::Bank(message), out);
+        }
+    }
+
+    pub(in crate::process::node) fn tokens(
+        &mut self,
+        now: Time,
+        message: bank::Message,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(bank) = self.quota.bank() else {
+            return;
+        };
+        if let Some(team) = bank.on(now, message) {
+            self.ingress(now, ingress::Event::Quota(team), out);
+        }
+        self.send_tokens(out);
+    }
+}
--- a/src/process/store.rs
+++ b/src/process/store.rs
@@ -109,6 +109,20 @@
         )
     }
 
+    /// The question for what has changed since a revision; for all there is without
+    /// one.
+    pub fn changes(prefix: &str, after: Option<Revision>, wait: Span) -> Self {
+        let prefix = prefix.to_owned();
+        match after {
+            None => Self::Read { prefix },
+            Some(after) => Self::Follow {
+                prefix,
+                after,
+                wait,
+            },
+        }
+    }
+
     /// The revision after which the call follows changes.
     pub fn after(&self) -> Option<Revision> {
         match self {
--- a/src/version/follow.rs
+++ b/src/version/follow.rs
@@ -103,15 +103,7 @@
 
     /// The question to the store for what has changed since a revision.
     pub fn question(&self, after: Option<Revision>) -> Call {
-        let prefix = self.source.key.to_owned();
-        match after {
-            None => Call::Read { prefix },
-            Some(after) => Call::Follow {
-                prefix,
-                after,
-                wait: WAIT,
-            },
-        }
+        Call::changes(self.source.key, after, WAIT)
     }
 
     /// Takes what another node says that the store would have answered, and when
--- a/tests/fleet/directory.rs
+++ b/tests/fleet/directory.rs
@@ -93,6 +93,13 @@
         self.directory.answer(self.now, purpose, answer)
     }
 
+    /// The store renews the lease.
+    fn renew(&mut self) {
+        self.tick();
+        let (lease, ttl) = (Lease(7), Span::from_secs(6));
+        self.answer(Purpose::Register, Answer::Leased { lease, ttl });
+    }
+
     /// Gets a lease and enters the record.
     fn register(&mut self) {
         let lease = Lease(7);
@@ -329,14 +336,7 @@
     let begun = story.now;
     while story.now.since(begun) < bank::JOIN_DELAY {
         story.now += Span::from_secs(1);
-        story.tick();
-        story.answer(
-            Purpose::Register,
-            Answer::Leased {
-                lease: Lease(7),
-                ttl: Span::from_secs(6),
-            },
-        );
+        story.renew();
         let quiet = Answer::Changes {
             changes: Vec::new(),
             at: Revision(9),
@@ -355,9 +355,7 @@
         "the newcomer may mint then"
     );
     story.now = asked + bank::MAX_VIEW_AGE;
-    story.tick();
-    let (lease, ttl) = (Lease(7), Span::from_secs(6));
-    story.answer(Purpose::Register, Answer::Leased { lease, ttl });
+    story.renew();
     assert_eq!(counted(&story), ["me", "new"]);
 }
 
@@ -370,14 +368,7 @@
     story.answer(Purpose::Watch, listing(&[peer("me", 5)]));
     for _ in 0..5 {
         story.now += Span::from_secs(1);
-        story.tick();
-        story.answer(
-            Purpose::Register,
-            Answer::Leased {
-                lease: Lease(7),
-                ttl: Span::from_secs(6),
-            },
-        );
+        story.renew();
     }
     assert!(story.directory.minting_until(story.now) <= story.now);
 }
