--- a/src/process/quota/bank.rs
+++ b/src/process/quota/bank.rs
@@ -3,7 +3,7 @@
 //! Every team has three token servers, the first three of the nodes that the store
 //! lists, by rendezvous hashing. Each has the right to mint a third of the rate
 //! into a bucket of a third of the burst. While a team is asked for, later servers
-//! leave their parts to the first one, for a second at a time: tokens in one bucket
+//! leave their parts to the first one, for a moment at a time: tokens in one bucket
 //! are worth more than the same tokens in three. When the first server dies the
 //! second one mints its own part and that of the third. A node that has a request
 //! of the team borrows a token from the first server, or else from the next.
