--- a/src/code.rs
+++ b/src/code.rs
@@ -120,6 +120,10 @@
     RecordUnavailable = 2016, 503, NotRun, 1, "the idempotency record cannot be reached now";
     /// The upstream answered that it has not run the request.
     UpstreamRejected = 2017, 503, NotRun, 1, "the upstream did not take the request";
+    /// The upstream is cold and takes no more requests in time.
+    UpstreamCold = 2018, 503, NotRun, 1, "the upstream is cold and takes no more requests now";
+    /// The upstream's failure domain is evacuated.
+    Evacuated = 2019, 503, NotRun, 1, "the failure domain of the upstream is evacuated";
     /// The link broke after the request was sent.
     LinkLost = 3001, 502, Unknown, 0, "the connection to the instance broke";
     /// The deadline passed while it ran.
--- a/src/command/latency.rs
+++ b/src/command/latency.rs
@@ -520,6 +520,7 @@
     let key = Key::seal("measure-1".parse()?, "measure".parse()?, "salt", "secret");
     Ok(Snapshot {
         callers: None,
+        evacuations: std::collections::BTreeMap::new(),
         version: Version(1),
         tables: Tables {
             routes: serde_json::from_str(routes).map_err(wrong)?,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -75,7 +75,8 @@
         outcome,
         policy,
         record,
-        retry, //
+        retry,
+        warmup, //
     },
     version::{
         adoption,
--- a/src/process/beside.rs
+++ b/src/process/beside.rs
@@ -88,6 +88,7 @@
         let verdict = announcer.on(now, word);
         let ready = announcer.is_ready();
         let slots = announcer.upstream().and_then(|upstream| upstream.slots);
+        let warmup = announcer.upstream().map(|upstream| upstream.warmup);
         let name = announcer.upstream().map(|upstream| upstream.name.clone());
         drop(announcer);
         if verdict != Verdict::Same {
@@ -102,6 +103,9 @@
             *self.target.borrow_mut() = name;
             self.on(Event::Capacity(slots));
             self.believe(ready);
+            if let Some(left) = warmup {
+                self.on(Event::Warmup(left));
+            }
         }
         verdict
     }
--- a/src/process/carrier.rs
+++ b/src/process/carrier.rs
@@ -84,7 +84,7 @@
         Limits,
         Settings, //
     },
-    store,
+    store, warmup,
 };
 
 /// An attempt that this node sent.
@@ -662,11 +662,30 @@
             life:% = peer.incarnation, status:% = peer.status; "a member is there"
         ),
         Note::Gone(name) => log::info!(peer:% = name; "a member is gone"),
+        Note::Warmup(status) => tell_warmup(*status),
+        Note::Evacuated { domain, order, age } => log::info!(
+            evacuated:% = domain, in_force = order.in_force, revision = order.revision.0,
+            age_ms = age.map_or(-1, |age| age.as_ms() as i64);
+            "an operator's order on a failure domain"
+        ),
         Note::Source(Some(name)) => log::info!(peer:% = name; "the store is heard from a watcher"),
         Note::Source(None) => log::info!("the store is asked directly"),
     }
 }
 
+fn tell_warmup(status: warmup::Status) {
+    let now = Clock.now();
+    match status {
+        warmup::Status::Warm => log::info!("the upstream is warm"),
+        warmup::Status::Cold(until) => {
+            log::info!(left_ms = now.until(until).as_ms(); "the upstream is cold")
+        }
+        warmup::Status::Doubtful(doubt, _) => {
+            log::info!(doubt:? = doubt; "the upstream may be cold")
+        }
+    }
+}
+
 /// Frames that an ingress sends to an inbound proxy, over the link that it
 /// dialed itself.
 pub(crate) fn is_for_inbound(frame: &Frame) -> bool {
--- a/src/process/interface.rs
+++ b/src/process/interface.rs
@@ -11,14 +11,20 @@
     connection::header::Names,
     document::Snapshot,
     error::Result,
+    id,
     unit::Size, //
 };
 
 /// A configuration that other operators' tools keep in the store.
 #[derive(Clone, Copy, Debug)]
 pub struct Source {
+    /// How the names begin of all that operators write, the configuration's and
+    /// those of evacuations.
+    pub prefix: &'static str,
     /// Its name in the store.
     pub key: &'static str,
+    /// The failure domain that is evacuated while there is a value of this name.
+    pub evacuated: fn(&str) -> Option<id::Domain>,
     /// Reads it.
     ///
     /// # Errors
--- a/src/process/member/table.rs
+++ b/src/process/member/table.rs
@@ -6,7 +6,10 @@
 //! that have seen the same records agree, in whichever order they came.
 
 use std::{
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     net::SocketAddr, //
 };
 
@@ -85,9 +88,30 @@
     pools: BTreeMap<Pool, Vec<usize>>,
     domains: BTreeMap<Domain, Vec<usize>>,
     tombs: BTreeMap<u32, Tomb>,
+    /// Failure domains whose upstreams get nothing, by the operators' order.
+    evacuated: BTreeSet<Domain>,
 }
 
 impl Table {
+    /// Sets the failure domains whose upstreams get nothing.
+    pub fn evacuate(&mut self, domains: BTreeSet<Domain>) {
+        self.evacuated = domains;
+    }
+
+    /// Whether a member's upstream takes requests and may get some.
+    pub fn takes_work(&self, peer: &Peer) -> bool {
+        peer.ready && !self.evacuated.contains(&peer.domain)
+    }
+
+    /// Whether the upstreams of a pool are there and all evacuated.
+    pub fn is_evacuated(&self, pool: &Pool) -> bool {
+        let slots = self.pools.get(pool).map_or(&[][..], Vec::as_slice);
+        let members = slots.iter().filter_map(|slot| self.slots[*slot].as_ref());
+        let mut ready = members.filter(|member| member.peer.ready).peekable();
+        let any = ready.peek().is_some();
+        any && ready.all(|member| self.evacuated.contains(&member.peer.domain))
+    }
+
     /// Adds or replaces a member, as if it had been there for long.
     pub fn insert(&mut self, peer: Peer) {
         let revision = self.member(&peer.instance).map_or(0, |m| m.revision);
@@ -124,7 +148,10 @@
     /// helps nobody.
     pub fn serving<'a>(&'a self, pool: &Pool) -> impl Iterator<Item = &'a Peer> {
         let slots = self.pools.get(pool).map_or(&[][..], Vec::as_slice);
-        let members = || slots.iter().filter_map(|slot| self.slots[*slot].as_ref());
+        let members = || {
+            let members = slots.iter().filter_map(|slot| self.slots[*slot].as_ref());
+            members.filter(|member| self.takes_work(&member.peer))
+        };
         let panic = !members().any(Member::healthy);
         members()
             .filter(move |member| match panic {
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -49,7 +49,8 @@
     policy::Policy,
     quota::Holder,
     record::Claim,
-    store, //
+    store,
+    warmup, //
 };
 
 /// How long a leaving node still takes calls of callers.
@@ -82,6 +83,17 @@
     Member(member::Peer),
     /// A member is gone.
     Gone(id::Instance),
+    /// The upstream beside this node is believed to be cold or warm.
+    Warmup(warmup::Status),
+    /// An operator has evacuated a failure domain, or taken it back.
+    Evacuated {
+        /// Which.
+        domain: id::Domain,
+        /// The order.
+        order: document::Evacuation,
+        /// How old the answer of the store is that showed it.
+        age: Option<Span>,
+    },
     /// What the store holds is heard from this watcher from now on, or from the
     /// store itself.
     Source(Option<id::Instance>),
@@ -159,6 +171,8 @@
     Health(bool),
     /// The upstream told how many requests it runs at a time.
     Capacity(Option<u32>),
+    /// The upstream told how much longer it is cold.
+    Warmup(Span),
     /// A datagram arrived.
     Datagram(SocketAddr, Message),
     /// The store answered the call with this number.
@@ -282,6 +296,8 @@
 
     /// Puts a configuration in force.
     pub fn adopt(&mut self, snapshot: document::Shared) {
+        self.members
+            .evacuate(snapshot.evacuated().cloned().collect());
         self.snapshot = snapshot;
     }
 
@@ -356,6 +372,7 @@
             }
             Event::Health(well) => self.inbound(now, inbound::Event::Health(well), out),
             Event::Capacity(slots) => self.inbound(now, inbound::Event::Capacity(slots), out),
+            Event::Warmup(left) => self.inbound(now, inbound::Event::Warmup(left), out),
             Event::Datagram(from, message) => self.message(now, Some(from), message, out),
             Event::Store(number, answer) => match self.asked.remove(&number) {
                 Some(Asker::Fleet) => self.fleet_store(now, number, answer, out),
@@ -583,6 +600,7 @@
     fn inbound(&mut self, now: Time, event: inbound::Event, out: &mut Vec<Action>) {
         let mut world = inbound::World {
             snapshot: &self.snapshot,
+            domain: &self.identity.peer.domain,
             levels: &mut self.levels,
             policy: self.policy,
             rng: &mut self.rng,
@@ -594,9 +612,11 @@
             if let inbound::Action::Refuse(_, request, code, _) = &action {
                 self.record_refused(now, *request, *code, out);
             }
-            match carried(action) {
-                Ok(action) => out.push(action),
-                Err(orphaned) => self.ingress(now, ingress::Event::Orphan(orphaned), out),
+            match action {
+                inbound::Action::Orphan(orphaned) => {
+                    self.ingress(now, ingress::Event::Orphan(orphaned), out);
+                }
+                action => out.extend(carried(action)),
             }
         }
     }
@@ -642,10 +662,10 @@
     }
 }
 
-/// What the server carries out of the inbound proxy's wishes; else the attempt
-/// whose nested calls must end, which this node's own router does.
-fn carried(action: inbound::Action) -> Result<Action, id::Request> {
-    Ok(match action {
+/// What the server carries out for the inbound proxy. Nested calls are ended by
+/// this node's own router.
+fn carried(action: inbound::Action) -> Option<Action> {
+    Some(match action {
         inbound::Action::Start {
             request,
             token,
@@ -670,6 +690,7 @@
         inbound::Action::Fate(peer, request, fate) => {
             Action::Frame(peer, Frame::Fate { request, fate })
         }
-        inbound::Action::Orphan(request) => return Err(request),
+        inbound::Action::Warmup(status) => Action::Note(Note::Warmup(status)),
+        inbound::Action::Orphan(_) => return None,
     })
 }
--- a/src/process/node/listed.rs
+++ b/src/process/node/listed.rs
@@ -23,6 +23,7 @@
         Directory,
         Purpose, //
     },
+    document,
     feed::{
         Subscriber,
         Topic,
@@ -37,6 +38,7 @@
         Revision,
         Version, //
     },
+    inbound,
     ingress,
     interface::Source,
     member::{
@@ -46,7 +48,8 @@
     metric::Counter,
     quota::Bank,
     retry::Terms,
-    store, //
+    store,
+    warmup, //
 };
 
 /// The time between two looks at what follows from the members.
@@ -73,6 +76,8 @@
     pub retry_slack: f64,
     /// That window.
     pub retry_window: Span,
+    /// Requests that a cold upstream may get beyond its rate.
+    pub cold: warmup::Bound,
 }
 
 impl Default for Bounds {
@@ -83,6 +88,7 @@
             retry_ratio: 0.2,
             retry_slack: 48.0,
             retry_window: Span::from_secs(10),
+            cold: warmup::Bound::default(),
         }
     }
 }
@@ -161,6 +167,7 @@
     /// node on, and shares rates without owners.
     pub fn list(&mut self, source: Source, bounds: Bounds) {
         self.quota.lend(Bank::new(self.identity.peer.clone()));
+        self.proxy.bound_cold(bounds.cold);
         self.listed = Some(Listed {
             bounds,
             directory: Directory::new(self.identity.peer.clone()),
@@ -189,6 +196,7 @@
 
     /// Goes by other bounds from now on.
     pub fn set_bounds(&mut self, bounds: Bounds) {
+        self.proxy.bound_cold(bounds.cold);
         if let Some(listed) = &mut self.listed {
             listed.bounds = bounds;
         }
@@ -347,13 +355,7 @@
     fn listed_news(&mut self, now: Time, news: News, out: &mut Vec<Action>) {
         match news {
             News::Nothing => {}
-            News::Newer(snapshot) => {
-                out.push(Action::Note(Note::Adopted(snapshot.version)));
-                if let Some(bank) = self.quota.bank() {
-                    bank.teams(now, &snapshot.teams.teams);
-                }
-                self.adopt((*snapshot).into());
-            }
+            News::Newer(snapshot) => self.listed_adopt(now, snapshot, out),
             News::Unusable(error) => {
                 self.counts.add(Counter::Invalid);
                 let reason = error.reason().to_owned();
@@ -362,6 +364,28 @@
         }
     }
 
+    fn listed_adopt(&mut self, now: Time, snapshot: document::Shared, out: &mut Vec<Action>) {
+        if snapshot.version != self.snapshot.version {
+            out.push(Action::Note(Note::Adopted(snapshot.version)));
+            if let Some(bank) = self.quota.bank() {
+                bank.teams(now, &snapshot.teams.teams);
+            }
+        }
+        let age = self.listed_age(now);
+        for (domain, order) in &snapshot.evacuations {
+            if self.snapshot.evacuations.get(domain) != Some(order) {
+                out.push(Action::Note(Note::Evacuated {
+                    domain: domain.clone(),
+                    order: *order,
+                    age,
+                }));
+            }
+        }
+        self.adopt(snapshot);
+        // What waits for an upstream that was just evacuated goes elsewhere at once.
+        self.inbound(now, inbound::Event::Tick, out);
+    }
+
     fn listed_changes(&mut self, now: Time, changes: Vec<Change>, out: &mut Vec<Action>) {
         if changes.is_empty() {
             return;
--- a/src/request/balance.rs
+++ b/src/request/balance.rs
@@ -127,7 +127,7 @@
     ) -> Option<(Instance, Incarnation)> {
         let subset = self.subsets.of(now, members, pool);
         let peers: Vec<&Peer> = subset.iter().filter_map(|name| members.get(name)).collect();
-        let usable = self.usable(now, &peers, policy);
+        let usable = self.usable(now, members, &peers, policy);
         let mut fresh: Vec<&Peer> = usable
             .iter()
             .copied()
@@ -169,7 +169,7 @@
         rng: &mut ChaCha8Rng,
     ) -> Option<(Instance, Incarnation)> {
         let peers: Vec<&Peer> = names.iter().filter_map(|name| members.get(name)).collect();
-        let usable = self.usable(now, &peers, policy);
+        let usable = self.usable(now, members, &peers, policy);
         let chosen = self.better(now, &usable, policy, rng)?;
         Some((chosen.instance.clone(), self.life(chosen)))
     }
@@ -241,8 +241,14 @@
 
     /// Those that may be picked. Rather one that is suspected or looks ill than
     /// none at all; one that has just told that it leaves is no choice.
-    fn usable<'a>(&self, now: Time, peers: &[&'a Peer], policy: Policy) -> Vec<&'a Peer> {
-        let here = |peer: &&&Peer| peer.ready && !self.leaving(now, peer);
+    fn usable<'a>(
+        &self,
+        now: Time,
+        members: &Table,
+        peers: &[&'a Peer],
+        policy: Policy,
+    ) -> Vec<&'a Peer> {
+        let here = |peer: &&&Peer| members.takes_work(peer) && !self.leaving(now, peer);
         let alive: Vec<&Peer> = peers
             .iter()
             .filter(here)
--- a/src/request/comeback.rs
+++ b/src/request/comeback.rs
@@ -74,6 +74,7 @@
             | Code::QueueTimeout
             | Code::UpstreamRejected
             | Code::UpstreamRefused
+            | Code::UpstreamCold
             | Code::Revoked
             | Code::LinkAbsent
     )
--- a/src/request/inbound.rs
+++ b/src/request/inbound.rs
@@ -53,12 +53,22 @@
     },
     outcome::Report,
     policy::Policy,
-    record::Claim, //
+    record::Claim,
+    warmup::{
+        self,
+        Doubt,
+        Meter,
+        Status, //
+    },
 };
 
 /// How long a cancelled attempt that has not arrived is refused at least.
 const CANCELLED: Span = Span::from_secs(60);
 
+/// Time without an event after which this node must have been suspended: it looks
+/// at the time at least ten times a second.
+const SUSPENDED: Span = Span::from_secs(1);
+
 /// How long after a call of the service failed an answer is blamed on it: the
 /// service answers within milliseconds once its call has failed.
 const BLAMED: Span = Span::from_ms(60);
@@ -119,6 +129,8 @@
     Health(bool),
     /// The upstream told how many requests it runs at a time.
     Capacity(Option<u32>),
+    /// The upstream told how much longer it is cold.
+    Warmup(Span),
     /// The node was told to stop.
     Drain,
     /// Time has passed.
@@ -147,12 +159,16 @@
     Fate(id::Instance, id::Request, Fate),
     /// The attempt is over for its callers: end the nested calls it made.
     Orphan(id::Request),
+    /// The upstream is believed to be cold or warm from now on.
+    Warmup(Status),
 }
 
 /// What the proxy consults.
 pub struct World<'a> {
     /// The configuration in force.
     pub snapshot: &'a Snapshot,
+    /// The failure domain of this node.
+    pub domain: &'a id::Domain,
     /// The levels of other nodes.
     pub levels: &'a mut Levels,
     /// Which mechanisms are in force.
@@ -175,6 +191,10 @@
     waiting: BTreeMap<id::Request, Waiting>,
     queue: Queue,
     limit: Limit,
+    bound: warmup::Bound,
+    meter: Meter,
+    /// When the last event came.
+    seen: Time,
     controller: Controller,
     memory: Memory,
     makers: Makers,
@@ -196,6 +216,9 @@
             waiting: BTreeMap::new(),
             queue: Queue::default(),
             limit: Limit::default(),
+            bound: warmup::Bound::default(),
+            meter: Meter::default(),
+            seen: Time::ZERO,
             controller: Controller::default(),
             memory: Memory::default(),
             makers: Makers::default(),
@@ -203,6 +226,12 @@
         }
     }
 
+    /// Bounds the requests at a cold upstream, over its rate.
+    pub fn bound_cold(&mut self, bound: warmup::Bound) {
+        self.bound = bound;
+        self.site.forget_row();
+    }
+
     /// Requests in flight at the upstream, and those that wait.
     pub fn len(&self) -> usize {
         self.running.len() + self.waiting.len()
@@ -243,7 +272,12 @@
         } else {
             Time::NEVER
         };
-        deadline.min(queue.unwrap_or(Time::NEVER)).min(level)
+        let cold = match self.queue.is_empty() {
+            true => Time::NEVER,
+            false => self.meter.due(),
+        };
+        let queue = queue.unwrap_or(Time::NEVER);
+        deadline.min(queue).min(level).min(cold)
     }
 
     /// The purses that nested calls borrow from.
@@ -304,8 +338,7 @@
 
     /// Takes one event and adds what is to be done.
     pub fn on(&mut self, now: Time, event: Event, world: &mut World<'_>, out: &mut Vec<Action>) {
-        self.site.configure(world.snapshot);
-        self.limit.configure(self.site.slots());
+        self.prepare(now, world, out);
         match event {
             Event::Attempt {
                 request,
@@ -336,6 +369,9 @@
                 self.site.told = slots;
                 self.limit.configure(self.site.slots());
             }
+            Event::Warmup(left) => {
+                self.believe(out, |meter| meter.report(now, left));
+            }
             Event::Drain => {
                 self.site.draining = true;
                 self.flush(now, Code::Leaving, world, out);
@@ -345,10 +381,55 @@
         self.fill(now, world, out);
     }
 
+    /// Takes the configuration and the time that has passed into account.
+    fn prepare(&mut self, now: Time, world: &mut World<'_>, out: &mut Vec<Action>) {
+        self.site.configure(world.snapshot, self.bound);
+        self.limit.configure(self.site.slots());
+        self.meter.configure(self.site.cold);
+        if self.seen != Time::ZERO && now.since(self.seen) > SUSPENDED {
+            self.doubt(now, Doubt::Suspended, out);
+        }
+        self.seen = now;
+        self.believe(out, |meter| meter.tick(now));
+        self.evacuate(now, world, out);
+    }
+
+    /// Begins nothing more while the failure domain is evacuated. Its upstreams may
+    /// come back cold.
+    fn evacuate(&mut self, now: Time, world: &mut World<'_>, out: &mut Vec<Action>) {
+        let order = world.snapshot.evacuations.get(world.domain).copied();
+        if order == self.site.evacuation {
+            return;
+        }
+        self.site.evacuation = order;
+        match self.site.is_evacuated() {
+            true => self.flush(now, Code::Evacuated, world, out),
+            false => self.doubt(now, Doubt::Returned, out),
+        }
+    }
+
+    /// The upstream may be cold.
+    fn doubt(&mut self, now: Time, doubt: Doubt, out: &mut Vec<Action>) {
+        self.believe(out, |meter| meter.doubt(now, doubt));
+    }
+
+    fn believe(&mut self, out: &mut Vec<Action>, change: impl FnOnce(&mut Meter)) {
+        let before = self.meter.status();
+        change(&mut self.meter);
+        let after = self.meter.status();
+        let is_new = std::mem::discriminant(&before) != std::mem::discriminant(&after);
+        if is_new && self.site.cold.is_some() {
+            out.push(Action::Warmup(after));
+        }
+    }
+
     fn state(&self, now: Time) -> Report {
         Report {
             load: self.len() as u32,
-            slots: self.site.shown(self.limit.current(now)),
+            slots: match self.meter.room(now) {
+                Some(room) => room.max(1),
+                None => self.site.shown(self.limit.current(now)),
+            },
             leaving: self.site.leaving(),
             life: self.life,
             clock: now.as_ms(),
@@ -478,6 +559,7 @@
     fn ready(&mut self, now: Time, ready: bool, world: &mut World<'_>, out: &mut Vec<Action>) {
         if ready && !self.site.ready {
             self.limit.warm(now, self.site.ramp);
+            self.doubt(now, Doubt::Unreported, out);
         }
         self.site.ready = ready;
         self.site.served |= ready;
--- a/src/request/inbound/running.rs
+++ b/src/request/inbound/running.rs
@@ -20,7 +20,8 @@
     id,
     outcome::Report,
     policy::Admission,
-    record::Claim, //
+    record::Claim,
+    warmup::Doubt, //
 };
 
 /// One attempt at the upstream.
@@ -89,7 +90,11 @@
             Admission::Open => usize::MAX,
             _ => self.limit.current(now) as usize,
         };
-        while self.running.len() < most {
+        let most = match self.site.is_evacuated() {
+            true => 0,
+            false => most,
+        };
+        while self.running.len() < most && self.meter.allows(now) {
             let Some((request, waiting)) = self.next(world.policy) else {
                 return;
             };
@@ -113,6 +118,7 @@
         let weight = weight.map_or(1, |team| team.weight.0);
         self.queue.count(&waiting.context.team, weight);
         self.site.started(now);
+        self.meter.take(now);
         self.tokens.insert(token, request);
         let purse = Purse::new(waiting.context.allowance);
         self.purses.insert(request, purse);
@@ -209,7 +215,10 @@
                 }
                 world.levels.learn(&running.route, &running.called);
             }
-            End::Refused => self.limit.refused(),
+            End::Refused => {
+                self.limit.refused();
+                self.doubt(now, Doubt::Refused, out);
+            }
             End::Rejected | End::Cut | End::Aborted => {}
         }
         if !running.aborted {
--- a/src/request/inbound/site.rs
+++ b/src/request/inbound/site.rs
@@ -7,8 +7,12 @@
         Span,
         Time, //
     },
-    document::Snapshot,
-    id, //
+    document::{
+        Evacuation,
+        Snapshot, //
+    },
+    id,
+    warmup, //
 };
 
 /// The weight of the newest answer in the usual time of service.
@@ -32,6 +36,10 @@
     pub told: Option<u32>,
     /// Time over which a new upstream's share grows.
     pub ramp: Span,
+    /// How fast a cold upstream takes requests, when configured.
+    pub cold: Option<warmup::Terms>,
+    /// The last order on the failure domain of this node.
+    pub evacuation: Option<Evacuation>,
     /// The upstream takes requests.
     pub ready: bool,
     /// What its health or load endpoint says of it.
@@ -66,6 +74,8 @@
             queue: 0,
             delay: Span::ZERO,
             ramp: Span::ZERO,
+            cold: None,
+            evacuation: None,
             ready,
             well: true,
             served: ready,
@@ -77,7 +87,7 @@
     }
 
     /// Reads the pool's row, when the configuration is a new one.
-    pub fn configure(&mut self, snapshot: &Snapshot) {
+    pub fn configure(&mut self, snapshot: &Snapshot, bound: warmup::Bound) {
         if self.version == Some(snapshot.version) {
             return;
         }
@@ -87,14 +97,25 @@
             self.queue = row.queue;
             self.delay = row.delay;
             self.ramp = row.ramp;
+            self.cold = bound.terms(row);
         }
     }
 
+    /// Reads the pool's row again with the next event.
+    pub fn forget_row(&mut self) {
+        self.version = None;
+    }
+
     /// The slots, by the upstream's own word before the pool's row.
     pub fn slots(&self) -> Option<u32> {
         self.told.or(self.slots)
     }
 
+    /// Whether the failure domain of this node is evacuated.
+    pub fn is_evacuated(&self) -> bool {
+        self.evacuation.is_some_and(|order| order.in_force)
+    }
+
     /// Whether new work belongs elsewhere, and will not come back here.
     pub fn leaving(&self) -> bool {
         self.draining || (self.served && !self.ready)
@@ -138,30 +159,20 @@
         Span::from_ms(usual.map_or(0, |usual| usual.ms as u64))
     }
 
-    /// How long this many requests take to pass through `limit` slots.
-    pub fn wait(&self, ahead: usize, limit: u32) -> Span {
-        Span::from_ms((ahead as f64 * self.gap(limit)) as u64)
-    }
-
-    /// The delay to aim at. With few slots and long service the time between
-    /// two starts alone is longer than the row's target.
-    pub fn target(&self, limit: u32) -> Span {
-        self.delay
-            .max(Span::from_ms((self.gap(limit) * 2.0) as u64))
+    /// The delay to aim at, with this time in ms between two starts. With few
+    /// slots and long service that alone is longer than the row's target.
+    pub fn target(&self, gap: f64) -> Span {
+        self.delay.max(Span::from_ms((gap * 2.0) as u64))
     }
 
     /// How much longer than usual nothing was started.
-    pub fn still(&self, now: Time, limit: u32) -> Span {
-        let usual = Span::from_ms((self.gap(limit) * 2.0) as u64);
+    pub fn still(&self, now: Time, gap: f64) -> Span {
+        let usual = Span::from_ms((gap * 2.0) as u64);
         now.since(self.last_start) - usual
     }
 
-    /// Requests that `limit` slots can serve in one second.
-    pub fn rate(&self, limit: u32) -> f64 {
-        1000.0 / self.gap(limit).max(0.001)
-    }
-
-    fn gap(&self, limit: u32) -> f64 {
+    /// The usual time in ms between two starts with `limit` slots in use.
+    pub fn gap(&self, limit: u32) -> f64 {
         self.typical / f64::from(limit.max(1))
     }
 }
--- a/src/request/inbound/waiting.rs
+++ b/src/request/inbound/waiting.rs
@@ -38,6 +38,8 @@
 /// The share of its time that a call of a service may wait. Refusing it fails
 /// the whole request that made it, with all that was done for that.
 const CALL_PATIENCE: f64 = 0.5;
+/// Lower bound in ms of the time between two starts.
+const MIN_GAP: f64 = 0.001;
 /// The longest wait, in targets of the queue's delay.
 const PATIENCE: f64 = 10.0;
 
@@ -140,6 +142,9 @@
         if self.site.leaving() {
             return Err(Code::Leaving);
         }
+        if self.site.is_evacuated() {
+            return Err(Code::Evacuated);
+        }
         if !self.site.ready {
             return Err(Code::UpstreamAbsent);
         }
@@ -159,7 +164,10 @@
         self.controller
             .passed(context.importance, team, item.weight);
         let ahead = self.queue.ahead(item, order(world.policy));
-        let wait = self.site.wait(ahead, self.limit.current(now));
+        if self.meter.wait(now, ahead) > now.until(waiting.expires) {
+            return Err(Code::UpstreamCold);
+        }
+        let wait = self.wait(now, ahead);
         let work = self.site.typical(now, &waiting.route);
         if world.policy.deadline && now + wait + work > waiting.deadline {
             return Err(Code::DeadlineUnfit);
@@ -265,25 +273,46 @@
             true => Span::ZERO,
             false => self.delay(now),
         };
-        let limit = self.limit.current(now);
         let state = State {
             delay,
-            used: self.running.len() as f64 / f64::from(limit),
-            rate: self.site.rate(limit),
+            used: self.used(now),
+            rate: 1000.0 / self.gap(now).max(MIN_GAP),
         };
         self.controller.tick(now, state, self.target(now));
     }
 
     fn target(&self, now: Time) -> Span {
-        self.site.target(self.limit.current(now))
+        self.site.target(self.gap(now))
+    }
+
+    /// The time in ms between two starts, by slots or by the rate of a cold
+    /// upstream.
+    fn gap(&self, now: Time) -> f64 {
+        let slots = self.site.gap(self.limit.current(now));
+        slots.max(self.meter.gap())
+    }
+
+    /// How long a request waits that this many are ahead of.
+    fn wait(&self, now: Time, ahead: usize) -> Span {
+        let slots = ahead as f64 * self.site.gap(self.limit.current(now));
+        let cold = self.meter.wait(now, ahead);
+        Span::from_ms(slots as u64).max(cold)
+    }
+
+    /// The share of what the upstream can take that is in use.
+    fn used(&self, now: Time) -> f64 {
+        let slots = self.running.len() as f64 / f64::from(self.limit.current(now));
+        match self.meter.allows(now) {
+            true => slots,
+            false => 1.0,
+        }
     }
 
     /// How long a request that came last would wait; at least the time since
     /// anything was started, in case the upstream stands still.
     fn delay(&self, now: Time) -> Span {
-        let limit = self.limit.current(now);
-        let little = self.site.wait(self.queue.len(), limit);
-        little.max(self.site.still(now, limit))
+        let little = self.wait(now, self.queue.len());
+        little.max(self.site.still(now, self.gap(now)))
     }
 }
 
--- a/src/request/ingress/attempt.rs
+++ b/src/request/ingress/attempt.rs
@@ -93,7 +93,11 @@
                     world.policy,
                     world.rng,
                 );
-                (picked, Code::UpstreamAbsent)
+                let absent = match world.members.is_evacuated(&call.pool) {
+                    true => Code::Evacuated,
+                    false => Code::UpstreamAbsent,
+                };
+                (picked, absent)
             }
         };
         let Some((peer, life)) = picked else {
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -13,3 +13,4 @@
 pub mod policy;
 pub mod record;
 pub mod retry;
+pub mod warmup;
--- a/src/request/retry.rs
+++ b/src/request/retry.rs
@@ -79,6 +79,8 @@
             | Code::UpstreamAbsent
             | Code::UpstreamRefused
             | Code::UpstreamRejected
+            | Code::UpstreamCold
+            | Code::Evacuated
             | Code::LinkAbsent
             | Code::Revoked
     )
--- a/src/standin/site.rs
+++ b/src/standin/site.rs
@@ -162,6 +162,7 @@
             far: Span::from_ms(1),
             snapshot: Snapshot {
                 callers: None,
+                evacuations: std::collections::BTreeMap::new(),
                 version: id::Version(1),
                 tables: Tables {
                     routes,
@@ -217,6 +218,7 @@
             far: Span::from_ms(1),
             snapshot: Snapshot {
                 callers: None,
+                evacuations: std::collections::BTreeMap::new(),
                 version: id::Version(1),
                 tables: Tables {
                     routes,
@@ -246,6 +248,7 @@
             routes: table(&self.snapshot.tables.routes)?,
             pools: table(&self.snapshot.tables.pools)?,
             teams: self.snapshot.teams.clone(),
+            evacuated: self.snapshot.evacuated().cloned().collect(),
             history: Vec::new(),
         })
     }
--- a/src/version/check.rs
+++ b/src/version/check.rs
@@ -8,6 +8,7 @@
 use super::{
     document::{
         Document,
+        Evacuation,
         Snapshot, //
     },
     parse::{
@@ -29,6 +30,10 @@
         Code,
         Error, //
     },
+    id::{
+        self,
+        Revision, //
+    },
 };
 
 /// The file names by which faults of a stored document are told apart.
@@ -77,12 +82,23 @@
                 version: document.version,
                 tables,
                 teams: document.teams.clone(),
+                evacuations: standing(document),
                 callers: None,
             }),
         }
     }
 }
 
+/// The evacuations that a document orders.
+fn standing(document: &Document) -> BTreeMap<id::Domain, Evacuation> {
+    let order = Evacuation {
+        in_force: true,
+        revision: Revision::default(),
+    };
+    let domains = document.evacuated.iter();
+    domains.map(|domain| (domain.clone(), order)).collect()
+}
+
 /// Reads both tables and adds every fault, in the order of files and places.
 ///
 /// The tables are of use only when no fault was added.
--- a/src/version/document.rs
+++ b/src/version/document.rs
@@ -1,6 +1,10 @@
 //! The configuration as it is stored and sent: one document, one version.
 
 use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     fmt,
     rc::Rc, //
 };
@@ -20,6 +24,7 @@
     id::{
         self,
         Change,
+        Revision,
         Version, //
     },
     tables::Tables,
@@ -48,6 +53,9 @@
     pub pools: String,
     /// Teams and keys.
     pub teams: Teams,
+    /// Failure domains whose upstreams get nothing.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub evacuated: BTreeSet<id::Domain>,
     /// The last changes, newest first, this one included.
     #[serde(default)]
     pub history: Vec<Entry>,
@@ -153,11 +161,32 @@
     pub tables: Tables,
     /// Teams and keys.
     pub teams: Teams,
+    /// The last order on each failure domain that was ever evacuated, as far as
+    /// this node has heard of it.
+    pub evacuations: BTreeMap<id::Domain, Evacuation>,
     /// What callers may do, where the configuration says it; else the node's
     /// settings do.
     pub callers: Option<Callers>,
 }
 
+/// An operator's order to send nothing more to the upstreams of a failure domain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Evacuation {
+    /// It holds; else it was taken back.
+    pub in_force: bool,
+    /// The revision of the store that shows it; zero where the document does.
+    pub revision: Revision,
+}
+
+impl Snapshot {
+    /// The failure domains whose upstreams get nothing.
+    pub fn evacuated(&self) -> impl Iterator<Item = &id::Domain> {
+        let orders = self.evacuations.iter();
+        let in_force = orders.filter(|(_, order)| order.in_force);
+        in_force.map(|(domain, _)| domain)
+    }
+}
+
 /// Limits on what callers send, from the configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Callers {
--- a/src/version/follow.rs
+++ b/src/version/follow.rs
@@ -7,21 +7,32 @@
 //! answer may have been long on its way, and what it says holds at its sending
 //! at the latest.
 
+use std::{
+    collections::BTreeMap,
+    rc::Rc, //
+};
+
 use crate::{
     clock::{
         Span,
         Time, //
     },
-    document::Snapshot,
+    document::{
+        Evacuation,
+        Shared, //
+    },
     error::Error,
     id::{
+        Domain,
         Revision,
         Version, //
     },
     interface::Source,
     store::{
         Answer,
-        Call, //
+        Call,
+        Change,
+        Entry, //
     },
 };
 
@@ -41,8 +52,8 @@
 pub enum News {
     /// Nothing to act on.
     Nothing,
-    /// A newer version.
-    Newer(Box<Snapshot>),
+    /// A newer version, or the same one with other evacuations.
+    Newer(Shared),
     /// A value that cannot be read, or goes back; the last good one stays.
     Unusable(Error),
 }
@@ -51,7 +62,10 @@
 #[derive(Debug)]
 pub struct Follower {
     source: Source,
-    version: Version,
+    /// What is in force.
+    snapshot: Shared,
+    /// The last order on each failure domain.
+    evacuations: BTreeMap<Domain, Evacuation>,
     /// Where the next question goes on; a fresh look when absent.
     after: Option<Revision>,
     /// When the open question was sent.
@@ -68,7 +82,8 @@
     pub fn new(source: Source) -> Self {
         Self {
             source,
-            version: Version(0),
+            snapshot: Shared::default(),
+            evacuations: BTreeMap::new(),
             after: None,
             asked: None,
             next: Time::ZERO,
@@ -103,7 +118,7 @@
 
     /// The question to the store for what has changed since a revision.
     pub fn question(&self, after: Option<Revision>) -> Call {
-        Call::changes(self.source.key, after, WAIT)
+        Call::changes(self.source.prefix, after, WAIT)
     }
 
     /// Takes what another node says that the store would have answered, and when
@@ -122,10 +137,12 @@
         };
         let (entry, at) = match answer {
             Answer::Listing { entries, at } => {
+                self.list_evacuations(&entries, at);
                 let mut entries = entries.into_iter();
                 (entries.find(|entry| entry.key == self.source.key), at)
             }
             Answer::Changes { changes, at } => {
+                self.change_evacuations(&changes, at);
                 let ours = changes.into_iter().filter(|c| c.key == self.source.key);
                 (ours.filter_map(|change| change.entry).next_back(), at)
             }
@@ -145,7 +162,7 @@
         };
         self.pause = FIRST_PAUSE;
         self.next = now;
-        if self.version == Version(0) && entry.is_none() {
+        if self.snapshot.version == Version(0) && entry.is_none() {
             self.next = now + ABSENT_PAUSE;
             return News::Nothing;
         }
@@ -157,29 +174,78 @@
             }
             _ => {
                 self.confirm(asked);
-                News::Nothing
+                self.news(false)
             }
         }
     }
 
+    /// All orders that stand; those that do not were taken back.
+    fn list_evacuations(&mut self, entries: &[Entry], at: Revision) {
+        let standing = entries.iter().filter_map(|entry| {
+            let domain = (self.source.evacuated)(&entry.key)?;
+            Some((domain, entry.revision))
+        });
+        let standing: BTreeMap<_, _> = standing.collect();
+        for (domain, order) in &mut self.evacuations {
+            let is_older = order.revision < at;
+            if order.in_force && is_older && !standing.contains_key(domain) {
+                *order = Evacuation {
+                    in_force: false,
+                    revision: at,
+                };
+            }
+        }
+        for (domain, revision) in standing {
+            self.order(domain, true, revision);
+        }
+    }
+
+    fn change_evacuations(&mut self, changes: &[Change], at: Revision) {
+        for change in changes {
+            if let Some(domain) = (self.source.evacuated)(&change.key) {
+                let revision = change.entry.as_ref().map_or(at, |entry| entry.revision);
+                self.order(domain, change.entry.is_some(), revision);
+            }
+        }
+    }
+
+    /// An older word on a domain than the last one changes nothing.
+    fn order(&mut self, domain: Domain, in_force: bool, revision: Revision) {
+        let order = Evacuation { in_force, revision };
+        let known = self.evacuations.entry(domain).or_insert(order);
+        if known.revision <= revision {
+            *known = order;
+        }
+    }
+
+    /// What is in force now, if it differs from what was.
+    fn news(&mut self, newer: bool) -> News {
+        let is_new = newer || self.snapshot.evacuations != self.evacuations;
+        if !is_new || self.snapshot.version == Version(0) {
+            return News::Nothing;
+        }
+        let snapshot = Rc::make_mut(&mut self.snapshot);
+        snapshot.evacuations = self.evacuations.clone();
+        News::Newer(self.snapshot.clone())
+    }
+
     fn offer(&mut self, asked: Time, value: &str) -> News {
         match (self.source.read)(value) {
             Err(error) => News::Unusable(error),
-            Ok(snapshot) if snapshot.version < self.version => {
+            Ok(snapshot) if snapshot.version < self.snapshot.version => {
                 let reason = format!(
                     "version {} is older than version {} in force",
-                    snapshot.version, self.version
+                    snapshot.version, self.snapshot.version
                 );
                 News::Unusable(Error::new(crate::error::Code::StoreData, reason))
             }
             Ok(snapshot) => {
-                let newer = snapshot.version > self.version;
-                self.version = snapshot.version;
-                self.confirm(asked);
-                match newer {
-                    true => News::Newer(Box::new(snapshot)),
-                    false => News::Nothing,
+                let newer = snapshot.version > self.snapshot.version;
+                if newer {
+                    self.snapshot = Rc::new(snapshot);
                 }
+                self.confirm(asked);
+                self.news(newer)
             }
         }
     }
--- a/src/version/parse.rs
+++ b/src/version/parse.rs
@@ -30,7 +30,10 @@
         Code,
         Error, //
     },
-    unit::Size, //
+    unit::{
+        Rate,
+        Size, //
+    },
 };
 
 /// The longest deadline; a longer one is a slip of the pen.
@@ -39,7 +42,10 @@
 const DELAY_LIMIT: Span = Span::from_secs(10);
 /// The longest time to drain.
 const DRAIN_LIMIT: Span = Span::from_secs(3600);
-/// The longest ramp of a new upstream.
+/// The rates that a cold upstream may be given.
+const MIN_COLD_RATE: Rate = Rate::per_second(1).scaled(100);
+const MAX_COLD_RATE: Rate = Rate::per_second(1_000_000);
+/// The longest ramp of a new upstream, and the longest time that one is cold.
 const RAMP_LIMIT: Span = Span::from_secs(600);
 /// The largest body.
 const BODY_LIMIT: Size = Size::kib(1 << 20);
@@ -180,6 +186,8 @@
     let health = fields.string("health").map(str::to_owned);
     let health = checked(&mut fields, "health", health, health_fault);
     let ramp = fields.within("ramp", Span::ZERO..=RAMP_LIMIT);
+    let cold = fields.within("cold", MIN_COLD_RATE..=MAX_COLD_RATE);
+    let warmup = fields.within("warmup", Span::ZERO..=RAMP_LIMIT);
     let places = fields.finish();
     let row = Pool {
         name: name?,
@@ -190,6 +198,8 @@
         drain: drain.unwrap_or_else(Pool::default_drain),
         health,
         ramp: ramp.unwrap_or_else(Pool::default_ramp),
+        cold,
+        warmup: warmup.unwrap_or_else(Pool::default_warmup),
     };
     Some(Row {
         row,
--- a/src/version/tables.rs
+++ b/src/version/tables.rs
@@ -10,7 +10,10 @@
     clock::Span,
     context::Importance,
     id,
-    unit::Size, //
+    unit::{
+        Rate,
+        Size, //
+    },
 };
 
 /// One row of the table of routes: which requests go where.
@@ -144,6 +147,12 @@
     /// Time over which a new upstream's share grows.
     #[serde(default = "Pool::default_ramp")]
     pub ramp: Span,
+    /// Requests a second that a cold upstream takes; not limited when absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold: Option<Rate>,
+    /// How long an upstream is cold after its start, unless it says so itself.
+    #[serde(default = "Pool::default_warmup")]
+    pub warmup: Span,
 }
 
 impl Pool {
@@ -162,6 +171,10 @@
     pub(super) fn default_ramp() -> Span {
         Span::from_secs(5)
     }
+
+    pub(super) fn default_warmup() -> Span {
+        Span::from_secs(3)
+    }
 }
 
 /// Both tables, checked against each other.
--- a/tests/driver.rs
+++ b/tests/driver.rs
@@ -53,6 +53,7 @@
     );
     Snapshot {
         callers: None,
+        evacuations: std::collections::BTreeMap::new(),
         version: Version(1),
         tables: Tables { routes, pools },
         teams: Teams {
--- a/tests/fleet/follow.rs
+++ b/tests/fleet/follow.rs
@@ -75,7 +75,12 @@
     fn new() -> Self {
         Self {
             now: Time::from_ms(1000),
-            follower: Follower::new(Source { key: KEY, read }),
+            follower: Follower::new(Source {
+                prefix: KEY,
+                key: KEY,
+                evacuated: |key| key.strip_prefix("conf/evacuate/")?.parse().ok(),
+                read,
+            }),
         }
     }
 
@@ -149,3 +154,91 @@
         assert!(matches!(call, Some(Call::Read { .. })), "{call:?}");
     }
 }
+
+/// Names of evacuated domains, as the news has them.
+fn evacuated(news: &News) -> Vec<String> {
+    let News::Newer(snapshot) = news else {
+        panic!("no news: {news:?}");
+    };
+    snapshot.evacuated().map(ToString::to_string).collect()
+}
+
+fn order(domain: &str, revision: u64) -> Entry {
+    Entry {
+        key: format!("conf/evacuate/{domain}"),
+        value: "{}".to_owned(),
+        revision: Revision(revision),
+    }
+}
+
+fn orders(changes: &[(&str, bool)], at: u64) -> Answer {
+    let changes = changes.iter().map(|(domain, ordered)| Change {
+        key: order(domain, at).key,
+        entry: ordered.then(|| order(domain, at)),
+    });
+    Answer::Changes {
+        changes: changes.collect(),
+        at: Revision(at),
+    }
+}
+
+/// Guards against a node that starts during an evacuation and does not know of it.
+#[test]
+fn the_first_answer_tells_of_evacuations() {
+    let mut story = Story::new();
+    let first = Answer::Listing {
+        entries: vec![entry("4", 9), order("north", 8), order("south", 10)],
+        at: Revision(10),
+    };
+    assert_eq!(evacuated(&story.ask(5, first)), ["north", "south"]);
+}
+
+/// Guards against orders that are heard late, doubled or not at all.
+#[test]
+fn an_evacuation_holds_until_it_is_taken_back() {
+    let mut story = Story::new();
+    story.ask(5, listing("4", 10));
+    let news = story.ask(5, orders(&[("north", true)], 11));
+    assert_eq!(evacuated(&news), ["north"]);
+    assert!(matches!(
+        story.ask(5, orders(&[("north", true)], 11)),
+        News::Nothing
+    ));
+    assert_eq!(evacuated(&story.ask(5, change("5", 12))), ["north"]);
+    story.ask(5, Answer::Lost);
+    let news = story.ask(5, orders(&[("north", false), ("south", true)], 14));
+    assert_eq!(evacuated(&news), ["south"]);
+}
+
+/// Guards against a listing from before the order, passed on by a slow watcher.
+#[test]
+fn an_older_listing_takes_nothing_back() {
+    let mut story = Story::new();
+    story.ask(5, listing("4", 10));
+    story.ask(5, orders(&[("north", true)], 20));
+    let older = Answer::Listing {
+        entries: vec![entry("4", 10)],
+        at: Revision(15),
+    };
+    assert!(matches!(story.ask(5, older), News::Nothing));
+    let newer = Answer::Listing {
+        entries: vec![entry("4", 10)],
+        at: Revision(21),
+    };
+    assert_eq!(evacuated(&story.ask(5, newer)), Vec::<String>::new());
+}
+
+/// Guards against an evacuation that begins and ends between two questions: its
+/// upstreams may be cold all the same.
+#[test]
+fn an_evacuation_that_was_over_at_once_is_news() {
+    let mut story = Story::new();
+    story.ask(5, listing("4", 10));
+    let news = story.ask(5, orders(&[("north", true), ("north", false)], 12));
+    assert_eq!(evacuated(&news), Vec::<String>::new());
+    let News::Newer(snapshot) = news else {
+        panic!("no news");
+    };
+    let north = "north".parse().expect("a name");
+    assert!(!snapshot.evacuations[&north].in_force);
+}
--- a/tests/path/bench.rs
+++ b/tests/path/bench.rs
@@ -207,6 +207,7 @@
     let name = |text: &str| text.parse().expect("a name");
     Snapshot {
         callers: None,
+        evacuations: std::collections::BTreeMap::new(),
         version: id::Version(1),
         tables: Tables {
             routes: serde_json::from_value(routes).expect("routes"),
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -23,3 +23,5 @@
 mod overload;
 #[path = "policy/rejection.rs"]
 mod rejection;
+#[path = "policy/warmup.rs"]
+mod warmup;
--- a/tests/policy/attribution.rs
+++ b/tests/policy/attribution.rs
@@ -53,6 +53,7 @@
             proxy: Proxy::new(LIFE, "p".parse().expect("a name"), true),
             snapshot: Snapshot {
                 callers: None,
+                evacuations: std::collections::BTreeMap::new(),
                 version: id::Version(1),
                 tables: Tables {
                     routes: Vec::new(),
@@ -71,6 +72,7 @@
     fn on(&mut self, event: Event) {
         let mut world = World {
             snapshot: &self.snapshot,
+            domain: &"here".parse().expect("a name"),
             levels: &mut self.levels,
             policy: Policy::default(),
             rng: &mut ChaCha8Rng::seed_from_u64(self.next),
--- a/tests/policy/balance.rs
+++ b/tests/policy/balance.rs
@@ -72,6 +72,11 @@
             .map(|(instance, _)| instance)
     }
 
+    fn evacuate(&mut self, domains: &[&str]) {
+        let domains = domains.iter().map(|name| name.parse().expect("a name"));
+        self.members.evacuate(domains.collect());
+    }
+
     fn told(&mut self, name: &str, load: u32, slots: u32) {
         let report = Report {
             load,
@@ -257,3 +262,37 @@
     }
     assert!(met.len() <= 16, "{}", met.len());
 }
+
+/// Guards against attempts to upstreams of a failure domain that is evacuated.
+#[test]
+fn an_evacuated_domain_gets_nothing() {
+    let mut bench = Bench::new(&[("b", "north"), ("c", "south"), ("d", "west")]);
+    bench.evacuate(&["north", "south"]);
+    assert!((0..100).all(|_| bench.pick(&[]).expect("an instance").as_str() == "d"));
+    bench.evacuate(&["north", "south", "west"]);
+    assert_eq!(bench.pick(&[]), None);
+    let pool = "p".parse().expect("a name");
+    assert!(bench.members.is_evacuated(&pool));
+    assert!(!bench.balancer.untried(&bench.members, &pool, &[]));
+    bench.evacuate(&[]);
+    assert!(bench.pick(&[]).is_some());
+}
+
+/// Guards against ill instances that are taken back as most of the pool is away:
+/// those that are evacuated are neither ill nor well.
+#[test]
+fn evacuated_instances_count_neither_as_ill_nor_as_well() {
+    let here = [
+        ("b", "north"),
+        ("c", "north"),
+        ("d", "north"),
+        ("e", "south"),
+    ];
+    let mut bench = Bench::new(&here);
+    bench.run(400, |name| match name {
+        "b" | "e" => (Mark::Ill, 1),
+        _ => (Mark::Well, 5),
+    });
+    bench.evacuate(&["south"]);
+    assert!((0..200).all(|_| bench.pick(&[]).expect("an instance").as_str() != "b"));
+}
--- a/tests/policy/inbound.rs
+++ b/tests/policy/inbound.rs
@@ -11,7 +11,10 @@
         Context,
         Importance, //
     },
-    document::Snapshot,
+    document::{
+        Evacuation,
+        Snapshot, //
+    },
     id,
     inbound::{
         Action,
@@ -62,6 +65,7 @@
     );
     Snapshot {
         callers: None,
+        evacuations: std::collections::BTreeMap::new(),
         version: id::Version(1),
         tables: Tables {
             routes: vec![serde_json::from_str(route).expect("a row")],
@@ -90,6 +94,7 @@
     fn on(&mut self, event: Event) -> Vec<Action> {
         let mut world = World {
             snapshot: &self.snapshot,
+            domain: &"here".parse().expect("a name"),
             levels: &mut self.levels,
             policy: Policy::default(),
             rng: &mut ChaCha8Rng::seed_from_u64(self.next),
@@ -139,6 +144,19 @@
         request
     }
 
+    /// An order on the proxy's failure domain, or none any more.
+    fn evacuate(&mut self, in_force: Option<bool>) -> Vec<Action> {
+        self.next += 1;
+        let domain: id::Domain = "here".parse().expect("a name");
+        let revision = id::Revision(self.next);
+        let orders = &mut self.snapshot.evacuations;
+        match in_force {
+            Some(in_force) => orders.insert(domain, Evacuation { in_force, revision }),
+            None => orders.remove(&domain),
+        };
+        self.on(Event::Tick)
+    }
+
     fn wait(&mut self, ms: u64) {
         self.now += Span::from_ms(ms);
     }
@@ -160,6 +178,104 @@
     actions.iter().filter_map(refuse).collect()
 }
 
+/// Warm, its upstream takes ten requests at a time; cold, ten a second.
+const COLD: &str = r#"{"name":"p","slots":10,"queue":20,"ramp":"0ms","cold":"10/s","warmup":"3s"}"#;
+
+/// A proxy whose upstream has just reported that it is cold.
+fn cold() -> Bench {
+    let mut bench = Bench::new(COLD);
+    bench.on(Event::Warmup(Span::from_secs(3)));
+    bench
+}
+
+/// Sends requests, and returns those that start within the time.
+fn started_within(bench: &mut Bench, count: usize, ms: u64) -> usize {
+    let mut all = 0;
+    for _ in 0..count {
+        all += started(&bench.attempt(|_| {}).1).len();
+    }
+    for _ in 0..ms {
+        bench.wait(1);
+        all += started(&bench.on(Event::Tick)).len();
+    }
+    all
+}
+
+/// Guards against a cold upstream that crashes as it gets what a warm one does.
+#[test]
+fn a_cold_upstream_gets_its_rate() {
+    let mut bench = cold();
+    assert_eq!(started_within(&mut bench, 15, 200), 2);
+    let actions = bench.on(Event::Warmup(Span::ZERO));
+    assert_eq!(started(&actions).len(), 8, "as many as there are slots");
+}
+
+/// Guards against requests that wait beside a cold upstream past all use.
+#[test]
+fn what_a_cold_upstream_cannot_take_in_time_is_refused_at_once() {
+    let mut bench = cold();
+    let mut turned = Vec::new();
+    for _ in 0..10 {
+        let (_, actions) = bench.attempt(|context| context.left = Span::from_ms(350));
+        turned.extend(refused(&actions));
+    }
+    assert_eq!(turned.len(), 7, "three can begin within 350 ms");
+    assert!(turned.iter().all(|(_, code)| *code == Code::UpstreamCold));
+}
+
+/// What makes a proxy doubt that its upstream is still warm.
+fn doubts(event: impl Fn(&mut Bench)) {
+    let mut bench = Bench::new(COLD);
+    bench.on(Event::Warmup(Span::ZERO));
+    assert_eq!(started(&bench.attempt(|_| {}).1).len(), 1);
+    event(&mut bench);
+    assert_eq!(started(&bench.attempt(|_| {}).1).len(), 0);
+    bench.on(Event::Warmup(Span::ZERO));
+    assert_eq!(started(&bench.attempt(|_| {}).1).len(), 1);
+}
+
+cases! { doubts:
+    of_an_upstream_that_accepts_no_connection => (|bench: &mut Bench| {
+        let (request, _) = bench.attempt(|_| {});
+        bench.on(Event::Ended(request, End::Refused));
+    }),
+    after_this_node_was_suspended => (|bench: &mut Bench| bench.wait(1500)),
+    of_an_upstream_that_comes_up => (|bench: &mut Bench| {
+        bench.on(Event::Ready(false));
+        bench.on(Event::Ready(true));
+        bench.wait(5);
+    }),
+    at_the_end_of_an_evacuation => (|bench: &mut Bench| {
+        bench.evacuate(Some(true));
+        bench.evacuate(Some(false));
+    }),
+    at_the_end_of_an_evacuation_that_was_never_heard_of => (|bench: &mut Bench| {
+        bench.evacuate(Some(false));
+    }),
+    at_the_end_of_an_evacuation_by_document => (|bench: &mut Bench| {
+        bench.evacuate(Some(true));
+        bench.evacuate(None);
+    }),
+}
+
+/// Guards against work that begins in an evacuated failure domain.
+#[test]
+fn an_evacuated_upstream_begins_nothing_and_ends_what_runs() {
+    let mut bench = Bench::new(ONE_SLOT);
+    let running = bench.busy();
+    let (waiting, _) = bench.attempt(|_| {});
+    let actions = bench.evacuate(Some(true));
+    assert_eq!(refused(&actions), vec![(waiting, Code::Evacuated)]);
+    assert!(!actions.contains(&Action::Abort(running)));
+    let (late, actions) = bench.attempt(|_| {});
+    assert_eq!(refused(&actions), vec![(late, Code::Evacuated)]);
+    let actions = bench.on(Event::Ended(running, End::Answered(200)));
+    assert_eq!(started(&actions), vec![]);
+    bench.evacuate(Some(false));
+    let (back, actions) = bench.attempt(|_| {});
+    assert_eq!(started(&actions), vec![back]);
+}
+
 const ONE_SLOT: &str = r#"{"name":"p","slots":1,"queue":2}"#;
 
 /// Two requests wait for the one slot. The second matters more, or belongs to a
--- a/tests/policy/orders.rs
+++ b/tests/policy/orders.rs
@@ -148,6 +148,7 @@
     Fixed {
         snapshot: Snapshot {
             callers: None,
+            evacuations: std::collections::BTreeMap::new(),
             version: id::Version(1),
             tables: Tables {
                 routes: vec![serde_json::from_str(row).expect("a row")],
@@ -306,6 +307,7 @@
         };
         let mut world = inbound::World {
             snapshot: &fixed.snapshot,
+            domain: &"here".parse().expect("a name"),
             levels: &mut Levels::default(),
             policy: Policy::default(),
             rng: &mut ChaCha8Rng::seed_from_u64(1),
@@ -333,7 +335,7 @@
                     let event = ingress::Event::Fate(from.clone(), request, fate);
                     self.wires.push(Wire::ToRouter(event));
                 }
-                inbound::Action::Orphan(_) => {}
+                inbound::Action::Orphan(_) | inbound::Action::Warmup(_) => {}
             }
         }
     }
--- a/tests/policy/rejection.rs
+++ b/tests/policy/rejection.rs
@@ -75,6 +75,7 @@
             router,
             snapshot: Snapshot {
                 callers: None,
+                evacuations: std::collections::BTreeMap::new(),
                 version: id::Version(1),
                 tables: Tables {
                     routes: vec![serde_json::from_str(row).expect("a row")],
