--- a/src/command/access.rs
+++ b/src/command/access.rs
@@ -12,6 +12,7 @@
 
 use super::{
     Failure,
+    operator::Nodes,
     rollout::{
         Rollout,
         rollout, //
@@ -140,6 +141,11 @@
 }
 
 impl Manner {
+    /// The nodes that the command names.
+    pub(super) fn nodes(&self) -> &Nodes {
+        self.rollout.nodes()
+    }
+
     /// Whether nothing is to be changed.
     pub(super) fn is_dry(&self) -> bool {
         self.dry
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -10,6 +10,7 @@
 mod check;
 mod demo;
 mod diff;
+mod domain;
 mod drain;
 mod explain;
 mod fleet;
@@ -87,6 +88,7 @@
         row::pool(),
         team::parser(),
         key::parser(),
+        domain::parser(),
         status::parser(),
         drain::parser(),
         explain::parser(),
--- a/src/command/rollout.rs
+++ b/src/command/rollout.rs
@@ -53,6 +53,11 @@
 }
 
 impl Rollout {
+    /// The nodes to ask.
+    pub(super) fn nodes(&self) -> &Nodes {
+        &self.nodes
+    }
+
     /// Refuses a wait that could ask nobody, before anything is changed.
     pub(super) fn check(&self) -> Result<()> {
         if self.wait.is_some() {
--- a/src/command/status.rs
+++ b/src/command/status.rs
@@ -76,7 +76,6 @@
     );
     for (node, answer) in answers {
         let Ok(status) = answer else { continue };
-        let draining = status["draining"] == true;
         println!(
             "{:<22} {:<20} {:<16} {:<16} {:>8} {:>6} {:>8} {}",
             node.to_string(),
@@ -86,11 +85,26 @@
             word(&status["version"]),
             word(&status["calls"]),
             status["members"].as_array().map_or(0, Vec::len),
-            if draining { "draining" } else { "running" },
+            state(status),
         );
     }
 }
 
+/// What the node's upstream gets, in one word.
+fn state(status: &Value) -> &'static str {
+    let evacuated = status["evacuated"].as_array();
+    let mut evacuated = evacuated.into_iter().flatten();
+    if status["draining"] == true {
+        "draining"
+    } else if evacuated.any(|domain| *domain == status["domain"]) {
+        "evacuated"
+    } else if status["cold"] == true {
+        "cold"
+    } else {
+        "running"
+    }
+}
+
 fn print_members(answers: &[Answered]) {
     println!(
         "{:<20} {:<16} {:<16} {:<22} {:<9} ready",
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -85,6 +85,7 @@
         commit,
         document,
         edit,
+        evacuation,
         follow,
         freshness,
         tables,
--- a/src/process/event.rs
+++ b/src/process/event.rs
@@ -135,6 +135,8 @@
     pub(crate) waiting: usize,
     /// Importances that are shed, and which part of the next.
     pub(crate) level: f64,
+    /// Requests are metered as the upstream is cold, or may be.
+    pub(crate) cold: bool,
 }
 
 /// How many lines may be written.
@@ -299,7 +301,8 @@
                     id = id, request:% = attempt, from:% = peer, route:% = route,
                     importance:% = context.importance, nested = context.depth > 0,
                     code = *code as u16, reason = code.name(), running = load.running,
-                    limit = load.limit, waiting = load.waiting, shed_level = load.level;
+                    limit = load.limit, waiting = load.waiting, shed_level = load.level,
+                    cold = load.cold;
                     "turned away"
                 );
             }
@@ -315,7 +318,7 @@
                     id = id, request:% = attempt, from:% = peer, route:% = route,
                     importance:% = context.importance, nested = context.depth > 0,
                     waited_ms = waited.as_ms(), running = load.running, limit = load.limit,
-                    waiting = load.waiting, shed_level = load.level;
+                    waiting = load.waiting, shed_level = load.level, cold = load.cold;
                     "started"
                 );
             }
--- a/src/process/export.rs
+++ b/src/process/export.rs
@@ -162,6 +162,9 @@
             .report(Clock.now(), id::Request::default());
         let version = carrier.core().snapshot().version;
         let now = Clock.now();
+        let snapshot = carrier.core().snapshot().clone();
+        let evacuated: Vec<_> = snapshot.evacuated().collect();
+        let cold = carrier.core().load(now).cold;
         let mut core = carrier.core_mut();
         let (age, standing) = (core.age(now), format!("{:?}", core.standing(now)));
         let fault = core.fault().map(|fault| fault.reason.clone());
@@ -198,6 +201,8 @@
             "links_dialed": dialed,
             "links_accepted": accepted,
             "report": report,
+            "evacuated": evacuated,
+            "cold": cold,
             "members": members,
         });
         json_reply(StatusCode::OK, &status)
--- a/src/request/inbound.rs
+++ b/src/request/inbound.rs
@@ -244,6 +244,7 @@
             limit: self.limit.current(now),
             waiting: self.waiting.len(),
             level: self.controller.height(),
+            cold: self.meter.is_cold(),
         }
     }
 
--- a/src/version/change.rs
+++ b/src/version/change.rs
@@ -97,6 +97,10 @@
     for key in &document.teams.keys {
         all.insert(Row::Key(key.name.clone()), fields(key)?);
     }
+    for domain in &document.evacuated {
+        let evacuated = [("evacuated".to_owned(), Value::Bool(true))];
+        all.insert(Row::Domain(domain.clone()), evacuated.into_iter().collect());
+    }
     Ok(all)
 }
 
--- a/src/version/document.rs
+++ b/src/version/document.rs
@@ -101,6 +101,8 @@
     Team(id::Team),
     /// A key.
     Key(id::Key),
+    /// A failure domain, while it is evacuated.
+    Domain(id::Domain),
 }
 
 impl fmt::Display for Row {
@@ -110,6 +112,7 @@
             Self::Pool(name) => write!(f, "pool {name}"),
             Self::Team(name) => write!(f, "team {name}"),
             Self::Key(name) => write!(f, "key {name}"),
+            Self::Domain(name) => write!(f, "domain {name}"),
         }
     }
 }
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -6,6 +6,7 @@
 pub mod commit;
 pub mod document;
 pub mod edit;
+pub mod evacuation;
 pub mod follow;
 pub mod freshness;
 pub mod tables;
--- a/tests/tables/operator.rs
+++ b/tests/tables/operator.rs
@@ -37,7 +37,7 @@
 /// What the nodes say: both have version 1, a third has not confirmed it.
 fn status() -> Value {
     json!({ "instance": "issuer-1", "domain": "north", "pool": "issuer", "version": 1,
-        "calls": 3, "draining": false, "members": [{ "instance": "issuer-2" }] })
+        "calls": 3, "draining": false, "members": [{ "instance": "issuer-2", "domain": "south" }] })
 }
 
 fn rollout() -> Value {
@@ -158,3 +158,48 @@
     let want = "not confirmed by issuer-3, 2 more in south (code 4103)";
     assert!(ended.err.contains(want), "{}", ended.err);
 }
+
+/// Guards against orders on domains that do not exist, and against the one that
+/// would leave no domain.
+#[test]
+fn domains_are_evacuated_and_taken_back() {
+    let nodes = Nodes::new();
+    let trial = Trial::new("domain");
+    trial.write("token", "operators-token\n");
+    let node = format!("--node {} --token-file token", nodes.single);
+
+    trial.fails("domain evacuate north", 2, "name a node with --node");
+    trial.fails(
+        &format!("domain evacuate west {node}"),
+        4,
+        "there is no failure domain `west`; the nodes are in `north`, `south` (code 4102)",
+    );
+    trial.fails(
+        "domain return north",
+        4,
+        "`north` is not evacuated (code 4102)",
+    );
+
+    let done = trial.done(&format!("domain evacuate north --wait 60s {node}"));
+    assert!(
+        done.contains("version 1 is accepted: domain north"),
+        "{done}"
+    );
+    assert!(done.contains("version 1 is in force"), "{done}");
+    assert_eq!(trial.done("domain list"), "north\n");
+    let again = trial.done(&format!("domain evacuate north {node}"));
+    assert!(again.contains("nothing to change in version 1"), "{again}");
+    trial.fails(
+        &format!("domain evacuate south {node}"),
+        2,
+        "`south` is the last failure domain that gets requests (code 4006)",
+    );
+
+    let done = trial.done("domain return north");
+    assert!(
+        done.contains("version 2 is accepted: domain north"),
+        "{done}"
+    );
+    assert_eq!(trial.json("domain list --json"), json!([]));
+    assert!(trial.done("history").contains("domain evacuate north"));
+}
