--- a/src/process/metric.rs
+++ b/src/process/metric.rs
@@ -27,6 +27,8 @@
     Retried(Reason),
     /// Retries that were wanted but not allowed, by reason.
     Unretried(Reason),
+    /// Attempts that began at a cold upstream.
+    ColdStarted,
     /// Frames for requests that nobody waits for.
     Late,
     /// Nested calls whose token named no running attempt.
--- a/src/request/inbound/running.rs
+++ b/src/request/inbound/running.rs
@@ -18,6 +18,7 @@
     code::Code,
     context::Context,
     id,
+    metric::Counter,
     outcome::Report,
     policy::Admission,
     record::Claim,
@@ -118,6 +119,9 @@
         let weight = weight.map_or(1, |team| team.weight.0);
         self.queue.count(&waiting.context.team, weight);
         self.site.started(now);
+        if self.meter.is_cold() {
+            world.counts.add(Counter::ColdStarted);
+        }
         self.meter.take(now);
         self.tokens.insert(token, request);
         let purse = Purse::new(waiting.context.allowance);
