Story: all upstreams come back cold at once

Virtual time, Tuul and Kandy at 80 % load with callers that retry five times. With a rate for cold upstreams in the pools' rows none crashes and goodput is back within 8 s; without it they crash more than a hundred times and do not come back.

--- a/src/standin/driver.rs
+++ b/src/standin/driver.rs
@@ -5,6 +5,7 @@
 //! machines and no networks beyond delay, loss and cuts. What truly happened is
 //! written to a [`Ledger`].
 
+mod cold;
 mod net;
 mod work;
 
@@ -25,6 +26,7 @@
 };
 use rand_chacha::ChaCha8Rng;
 
+pub use self::cold::Frailty;
 use super::{
     keyvalue::Map,
     ledger::{
@@ -157,6 +159,7 @@
     pub failing: bool,
     /// Whether it refuses connections.
     pub refusing: bool,
+    cold: cold::Cold,
 }
 
 struct Node {
@@ -210,6 +213,7 @@
     Impatient {
         job: usize,
     },
+    Rise(usize),
     Tick(usize),
 }
 
@@ -297,6 +301,7 @@
             slow: 1.0,
             failing: false,
             refusing: false,
+            cold: cold::Cold::default(),
         };
         self.nodes.push(Node {
             identity: Identity { peer, seed: 0 },
@@ -581,6 +586,7 @@
             What::Arrive { flow } => self.arrive(flow),
             What::Try { item } => self.attempt(item),
             What::Impatient { job } => self.hang_up(job),
+            What::Rise(node) => self.rise(node),
             What::Tick(node) => {
                 if self.nodes[node].core.is_some() {
                     self.event(node, Event::Tick);
--- /dev/null
+++ b/src/standin/driver/cold.rs
@@ -0,0 +1,103 @@
+//! Upstreams that start cold, and crash when they get too much then.
+
+use std::collections::VecDeque;
+
+use super::{
+    Driver,
+    What, //
+};
+use crate::{
+    clock::{
+        Span,
+        Time, //
+    },
+    id,
+    inbound,
+    node::Event, //
+};
+
+const SECOND: Span = Span::from_secs(1);
+
+/// What an upstream bears after its start.
+#[derive(Clone, Copy, Debug)]
+pub struct Frailty {
+    /// Requests in one second that it bears while it is cold.
+    pub bears: usize,
+    /// How long it is cold.
+    pub time: Span,
+    /// How long it is away after a crash.
+    pub away: Span,
+}
+
+/// The state of one upstream.
+#[derive(Clone, Debug, Default)]
+pub struct Cold {
+    frailty: Option<Frailty>,
+    until: Time,
+    starts: VecDeque<Time>,
+    /// How often it has crashed.
+    pub crashes: u32,
+}
+
+impl Driver {
+    /// Makes every upstream crash under too much while it is cold.
+    pub fn weaken(&mut self, frailty: Frailty) {
+        for node in &mut self.nodes {
+            node.upstream.cold.frailty = Some(frailty);
+        }
+    }
+
+    /// Crashes of all upstreams.
+    pub fn crashes(&self) -> u32 {
+        let nodes = self.nodes.iter();
+        nodes.map(|node| node.upstream.cold.crashes).sum()
+    }
+
+    /// An upstream ends at once and comes back cold.
+    pub fn crash(&mut self, node: usize) {
+        let upstream = &mut self.nodes[node].upstream;
+        let Some(frailty) = upstream.cold.frailty else {
+            return;
+        };
+        upstream.refusing = true;
+        upstream.cold.crashes += 1;
+        let active = upstream.active.keys().copied();
+        let waiting = upstream.waiting.iter().map(|(request, _)| *request);
+        let lost: Vec<id::Request> = active.chain(waiting).collect();
+        upstream.waiting.clear();
+        let life = self.nodes[node].life;
+        for request in lost {
+            self.release(node, request);
+            let event = Event::Ended(request, inbound::End::Cut);
+            self.push(self.now, What::Node(node, life, Box::new(event)));
+        }
+        self.push(self.now + frailty.away, What::Rise(node));
+    }
+
+    /// A crashed upstream is back, and announces that it is cold.
+    pub(super) fn rise(&mut self, node: usize) {
+        let upstream = &mut self.nodes[node].upstream;
+        let Some(frailty) = upstream.cold.frailty else {
+            return;
+        };
+        upstream.refusing = false;
+        upstream.cold.until = self.now + frailty.time;
+        upstream.cold.starts.clear();
+        self.event(node, Event::Ready(true));
+        self.event(node, Event::Warmup(frailty.time));
+    }
+
+    /// Counts a request, and tells whether a cold upstream breaks down under it.
+    pub(super) fn overwhelms(&mut self, node: usize) -> bool {
+        let now = self.now;
+        let cold = &mut self.nodes[node].upstream.cold;
+        let Some(frailty) = cold.frailty.filter(|_| now < cold.until) else {
+            return false;
+        };
+        cold.starts.push_back(now);
+        while cold.starts.front().is_some_and(|at| *at + SECOND <= now) {
+            cold.starts.pop_front();
+        }
+        cold.starts.len() > frailty.bears
+    }
+}
--- a/src/standin/driver/work.rs
+++ b/src/standin/driver/work.rs
@@ -213,7 +213,10 @@
         self.ledger.started(self.now, request, &team);
         self.nodes[node].tokens.insert(request, token);
         self.nodes[node].upstream.waiting.push_back((request, job));
-        self.fill(node);
+        match self.overwhelms(node) {
+            true => self.crash(node),
+            false => self.fill(node),
+        }
     }
 
     pub(super) fn fill(&mut self, node: usize) {
--- a/src/standin/trial.rs
+++ b/src/standin/trial.rs
@@ -8,6 +8,7 @@
 use super::{
     driver::{
         Driver,
+        Frailty,
         Service,
         Setup, //
     },
@@ -88,6 +89,26 @@
     pub retries: u32,
 }
 
+/// What the end of every upstream at once leads to.
+#[derive(Clone, Copy, Debug)]
+pub struct Outage {
+    /// Crashes of upstreams after they came back.
+    pub crashes: u32,
+    /// Seconds until goodput is back at 95 % of before.
+    pub recovery: Option<u64>,
+    /// Whole requests in the last ten seconds watched, as a share of before.
+    pub after: f64,
+}
+
+/// How upstreams come back in [`outage`].
+const FRAILTY: Frailty = Frailty {
+    bears: 27,
+    time: Span::from_secs(3),
+    away: Span::from_ms(1100),
+};
+/// The rate of a cold upstream in its pool's row.
+const COLD_RATE: Rate = Rate::per_second(13);
+
 /// Pools and paths of the levels of a tree.
 const LEVELS: [(&str, &str); 4] = [
     ("level1", "/1"),
@@ -159,6 +180,37 @@
     }
 }
 
+/// Every upstream ends at once, and all come back cold. The rows of the pools say
+/// what a cold upstream takes, or they do not.
+pub fn outage(site: &Site, is_metered: bool, seed: u64) -> Outage {
+    let mut site = site.clone();
+    for pool in &mut site.snapshot.tables.pools {
+        pool.cold = is_metered.then_some(COLD_RATE);
+    }
+    let mut driver = driver(site.setup(seed), Policy::default());
+    driver.weaken(FRAILTY);
+    for flow in site.flows(80, RETRIES) {
+        driver.flow(flow);
+    }
+    driver.run_for(WARM);
+    let begun = driver.now();
+    (0..driver.len()).for_each(|node| driver.crash(node));
+    let before = driver.crashes();
+    driver.run_for(FRAILTY.away);
+    let ended = driver.now();
+    driver.run_for(Span::from_secs(30));
+    let until = driver.now();
+    let series = whole_by_second(&driver);
+    let first = begun.as_ms() / SECOND;
+    let steady = mean(&series, first - 5, first);
+    let end = until.as_ms() / SECOND;
+    Outage {
+        crashes: driver.crashes() - before,
+        recovery: recovery(&series, steady, ended, until),
+        after: mean(&series, end - 10, end) / steady,
+    }
+}
+
 /// One team at five times its rate, the others at theirs. The rates together
 /// are nine tenths of the capacity.
 pub fn greed(site: &Site, policy: Policy, seed: u64, span: Span) -> Greed {
--- a/tests/policy/overload.rs
+++ b/tests/policy/overload.rs
@@ -48,6 +48,29 @@
     assert!(slow.after < 0.1, "{slow:?}");
 }
 
+/// Guards against upstreams that come back cold, crash under the load of warm ones
+/// and come back cold again.
+fn outage(site: Site) {
+    let outage = trial::outage(&site, true, 3);
+    assert_eq!(outage.crashes, 0, "{outage:?}");
+    assert!(outage.recovery.is_some_and(|s| s <= 8), "{outage:?}");
+    assert!(outage.after >= 0.95, "{outage:?}");
+}
+
+cases! { outage:
+    outage_at_tuul => (Site::tuul()),
+    outage_at_kandy => (Site::kandy()),
+}
+
+/// Shows that the story above really crashes what gets too much.
+#[test]
+fn without_a_rate_for_cold_upstreams_an_outage_lasts() {
+    let outage = trial::outage(&Site::tuul(), false, 3);
+    assert!(outage.crashes > 100, "{outage:?}");
+    assert_eq!(outage.recovery, None, "{outage:?}");
+    assert!(outage.after < 0.5, "{outage:?}");
+}
+
 /// One team sends five times what it should. The others send what they always
 /// do, and see their requests refused.
 fn greed(site: Site) {
