Balance: two choices by expected time, with the speed of instances

Cause: instances of a pool differ in speed by 2.3; by use of slots alone each gets a queue of the same length, so calls time out beside slow ones while fast ones have room, and one lost read of eight loses a certificate.

Change: an answer tells the usual time of service of its route; an ingress keeps how much slower than all others an instance is, and multiplies its use by that.

--- a/src/request/balance.rs
+++ b/src/request/balance.rs
@@ -24,7 +24,8 @@
         Domain,
         Incarnation,
         Instance,
-        Pool, //
+        Pool,
+        Route, //
     },
     member::{
         Peer,
@@ -60,6 +61,12 @@
 /// way. Loads are known a moment late and differ by chance, also where all are
 /// alike full: following each small difference moves bytes and ends no wait.
 const WORTHWHILE: f64 = 0.2;
+/// The weights of the newest report in a route's usual time of service, and in how
+/// much slower than usual an instance is.
+const USUAL_WEIGHT: f64 = 0.02;
+const SLOWNESS_WEIGHT: f64 = 0.05;
+/// Bound on how much slower or faster an instance may seem.
+const MAX_SLOWNESS: f64 = 4.0;
 /// Slots of an instance that has told none.
 const UNTOLD: f64 = 4.0;
 
@@ -69,6 +76,8 @@
     life: Incarnation,
     outstanding: u32,
     told: Option<Told>,
+    /// Its time of service, relative to that of all instances.
+    slowness: f64,
     success: f64,
     marked: Time,
     outcomes: u32,
@@ -103,6 +112,8 @@
     domain: Domain,
     subsets: Subsets,
     views: BTreeMap<Instance, View>,
+    /// The usual time of service of each route in ms, over all instances.
+    usual: BTreeMap<Route, f64>,
 }
 
 impl Balancer {
@@ -112,6 +123,7 @@
             domain: own.domain.clone(),
             subsets: Subsets::new(own),
             views: BTreeMap::new(),
+            usual: BTreeMap::new(),
         }
     }
 
@@ -212,6 +224,19 @@
         });
     }
 
+    /// An instance told how long it usually serves a route.
+    pub fn served(&mut self, peer: &Instance, route: &Route, service_ms: u32) {
+        if service_ms == 0 {
+            return;
+        }
+        let service = f64::from(service_ms);
+        let usual = self.usual.entry(route.clone()).or_insert(service);
+        *usual += (service - *usual) * USUAL_WEIGHT;
+        let slower = (service / *usual).clamp(1.0 / MAX_SLOWNESS, MAX_SLOWNESS);
+        let view = self.view(peer);
+        view.slowness += (slower - view.slowness) * SLOWNESS_WEIGHT;
+    }
+
     /// An attempt has ended.
     pub fn ended(&mut self, now: Time, peer: &Instance, mark: Mark) {
         let view = self.view(peer);
@@ -331,12 +356,18 @@
         }
         let second = (first + rng.random_range(1..peers.len())) % peers.len();
         let (a, b) = (peers[first], peers[second]);
-        match self.used(now, b) < self.used(now, a) {
+        match self.time(now, b) < self.time(now, a) {
             true => Some(b),
             false => Some(a),
         }
     }
 
+    /// How long a request more would take at an instance, in usual times of service.
+    fn time(&self, now: Time, peer: &Peer) -> f64 {
+        let slowness = self.views.get(&peer.instance).map_or(1.0, |v| v.slowness);
+        self.used(now, peer) * slowness
+    }
+
     /// How full an instance would be with one request more.
     fn used(&self, now: Time, peer: &Peer) -> f64 {
         let Some(view) = self.views.get(&peer.instance) else {
@@ -356,6 +387,7 @@
             life: Incarnation(0),
             outstanding: 0,
             told: None,
+            slowness: 1.0,
             success: 1.0,
             marked: Time::ZERO,
             outcomes: 0,
--- a/src/request/inbound.rs
+++ b/src/request/inbound.rs
@@ -312,8 +312,10 @@
             self.level(now, &r.route, &r.context.team, levels, policy)
         });
         let purse = self.purses.get(&request).copied().unwrap_or_default();
+        let usual = running.map_or(Span::ZERO, |r| self.site.typical(now, &r.route));
         Report {
             level,
+            service: usual.as_ms() as u32,
             spent: purse.spent(),
             final_word: purse.final_word || self.failed.is_some_and(|at| now.since(at) <= BLAMED),
             ..self.state(now)
--- a/src/request/ingress/end.rs
+++ b/src/request/ingress/end.rs
@@ -185,6 +185,7 @@
             return None;
         };
         if let Some(call) = self.calls.get(&attempt.call) {
+            self.balancer.served(peer, &call.route, report.service);
             let team = &call.context.team;
             // One that leaves sheds nothing, as it takes nothing: its level
             // would hide that those which stay are overloaded.
--- a/src/request/outcome.rs
+++ b/src/request/outcome.rs
@@ -47,6 +47,10 @@
     pub load: u32,
     /// Slots the upstream has by the present limit.
     pub slots: u32,
+    /// The usual time of service of the attempt's route here, in milliseconds; zero
+    /// while unknown.
+    #[serde(default)]
+    pub service: u32,
     /// Retries that the attempt and all below it have spent.
     pub spent: u8,
     /// A deeper hop has judged that nobody above should try again.
--- a/tests/policy/balance.rs
+++ b/tests/policy/balance.rs
@@ -296,3 +296,25 @@
     bench.evacuate(&["south"]);
     assert!((0..200).all(|_| bench.pick(&[]).expect("an instance").as_str() != "b"));
 }
+
+/// Guards against slow instances that get as much as fast ones, so that their queues
+/// time out while others have room.
+#[test]
+fn slower_instances_get_less() {
+    let mut bench = Bench::new(&[("b", "north"), ("c", "north"), ("d", "north")]);
+    let route = "r".parse().expect("a name");
+    let service = |name: &str| match name {
+        "b" => 34,
+        "c" => 20,
+        _ => 14,
+    };
+    for _ in 0..200 {
+        for name in ["b", "c", "d"] {
+            let peer = name.parse().expect("a name");
+            bench.balancer.served(&peer, &route, service(name));
+        }
+    }
+    let got = bench.run(6000, |name| (Mark::Well, u64::from(service(name))));
+    assert!(got["b"] < got["c"] && got["c"] < got["d"], "{got:?}");
+    assert!(got["b"] > 600, "{got:?}");
+}
