Cold upstreams: tests of the whole path; waits no longer than beside warm ones

A request waited ten targets of the queue's delay, and a cold upstream's target is two of its gaps: 1.5 s at 13 requests a second, 40 s at one in two seconds. It goes elsewhere now after the wait that is allowed beside a warm one.

--- a/src/process/server.rs
+++ b/src/process/server.rs
@@ -306,6 +306,11 @@
         self.carrier.on(Event::Ready(ready));
     }
 
+    /// The version of the configuration in force.
+    pub fn version(&self) -> id::Version {
+        self.carrier.core().snapshot().version
+    }
+
     /// What the decisions have counted.
     pub fn counts(&self) -> Counts {
         self.carrier.core().counts().clone()
--- a/src/request/inbound/waiting.rs
+++ b/src/request/inbound/waiting.rs
@@ -104,7 +104,9 @@
         out: &mut Vec<Action>,
     ) {
         if world.policy.admission == Admission::Level {
-            let mut patience = self.target(now).scale(PATIENCE);
+            // The gap of a cold upstream does not count: other instances may be warm.
+            let gap = self.site.gap(self.slots(now));
+            let mut patience = self.site.target(gap).scale(PATIENCE);
             if waiting.context.depth > 0 && world.policy.attribution {
                 patience = patience.max(waiting.context.left.scale(CALL_PATIENCE));
             }
--- a/tests/platform/config.rs
+++ b/tests/platform/config.rs
@@ -71,6 +71,38 @@
     );
 }
 
+#[test]
+fn a_service_tells_what_its_cold_servers_take() {
+    let mut document = document();
+    let spec = &mut document["resources"][2]["spec"];
+    *spec = json!({ "warmup_s": 2.5, "warmup_per_s": 13.5, "protocol": "h1" });
+    let snapshot = read(&document);
+    let pool = |name: &str| {
+        let mut pools = snapshot.tables.pools.iter();
+        pools
+            .find(|pool| pool.name.as_str() == name)
+            .expect("a pool")
+    };
+    assert_eq!(
+        pool("old").cold.map(|rate| rate.to_string()),
+        Some("13.5/s".to_owned())
+    );
+    assert_eq!(pool("old").warmup, Span::from_ms(2500));
+    assert_eq!(pool("new").cold, None);
+}
+
+fn evacuates(key: &str, zone: Option<&str>) {
+    let domain = config::evacuated(key).map(|domain| domain.to_string());
+    assert_eq!(domain.as_deref(), zone);
+}
+
+cases! { evacuates:
+    a_zone => ("op/evacuate/ub-a", Some("ub-a")),
+    no_zone => ("op/evacuate/", None),
+    a_name_that_is_none => ("op/evacuate/a b", None),
+    the_configuration => ("op/config", None),
+}
+
 /// Keys are opaque, with a dot in them or without; what is kept is no key.
 #[test]
 fn opaque_keys_are_known_by_their_text_alone() {
--- a/tests/platform/kv.rs
+++ b/tests/platform/kv.rs
@@ -149,6 +149,24 @@
         lock(&self.state).map.on(Clock.now(), &call);
     }
 
+    /// Removes a key as the operator does.
+    pub fn remove(&self, key: &str) {
+        let mut state = lock(&self.state);
+        let get = Call::Get {
+            key: key.to_owned(),
+        };
+        let Some(Answer::Value(Some(entry))) = state.map.on(Clock.now(), &get) else {
+            panic!("there is no {key}");
+        };
+        let call = Call::Swap {
+            key: key.to_owned(),
+            expect: entry.revision,
+            value: None,
+            lease: None,
+        };
+        state.map.on(Clock.now(), &call);
+    }
+
     /// The names under a prefix.
     pub fn names(&self, prefix: &str) -> Vec<String> {
         let call = Call::List {
--- a/tests/platform/path.rs
+++ b/tests/platform/path.rs
@@ -1,6 +1,10 @@
 //! The request path on the platform, over real sockets.
 
-use bluebellswitch::standin::upstream::Act;
+use bluebellswitch::standin::{
+    caller::Caller,
+    upstream::Act, //
+};
+use serde_json::json;
 use tokio::{
     io::{
         AsyncReadExt,
@@ -480,3 +484,64 @@
         assert_eq!(site.machines[2].node.peer().incarnation.0, ahead + 1);
     });
 }
+
+/// Guards against requests at the servers of a zone that is evacuated, also by a node
+/// that starts meanwhile.
+#[test]
+fn an_evacuated_zone_gets_nothing_until_it_is_taken_back() {
+    run(async {
+        let mut site = Site::start(|seen| whole(seen, "stock")).await;
+        site.store.put("op/evacuate/b", "{}");
+        until("the order is heard", || async {
+            site.call("GET", "/view/x", "").await.code() == Some(2019)
+        })
+        .await;
+        let before = site.machines[1].server.seen().len();
+        site.add("c-1", "c", "front", |seen| whole(seen, "stock"))
+            .await;
+        let newcomer = &site.machines[2];
+        until("the newcomer is ready", || async {
+            newcomer.ready().await == 200
+        })
+        .await;
+        let late = Caller::new(newcomer.node.addresses().callers);
+        let answer = late.get("/view/x", &[HOST, KEY, ID]).await;
+        assert_eq!(answer.expect("an answer").status, 503);
+        assert_eq!(site.machines[1].server.seen().len(), before);
+        site.store.remove("op/evacuate/b");
+        until("it serves again", || async {
+            site.call("GET", "/view/x", "").await.status == 200
+        })
+        .await;
+    });
+}
+
+/// Guards against a cold server that gets as many requests as a warm one.
+#[test]
+fn a_cold_server_gets_its_rate() {
+    run(async {
+        let site = Site::start(|seen| whole(seen, "stock")).await;
+        let mut document = configuration(2);
+        let rows = document["resources"].as_array_mut().expect("rows");
+        rows.push(
+            json!({ "type": "services", "metadata": { "name": "registry" }, "spec": {
+            "health_path": "/health", "warmup_s": 30.0, "warmup_per_s": 0.5 } }),
+        );
+        site.store.put("op/config", &document.to_string());
+        let machine = &site.machines[1];
+        until("the configuration is in force", || async {
+            machine.node.version().0 == 2
+        })
+        .await;
+        assert_eq!(machine.say_cold("ready", 2, 30_000).await, 200);
+        let before = machine.server.seen().len();
+        for _ in 0..20 {
+            let answer = site.call("GET", "/view/x", "").await;
+            assert!(matches!(answer.status, 200 | 503), "{}", answer.status);
+        }
+        let while_cold = machine.server.seen().len() - before;
+        assert!(while_cold <= 3, "{while_cold} requests");
+        assert_eq!(machine.say("ready", 3).await, 200);
+        assert_eq!(site.call("GET", "/view/x", "").await.status, 200);
+    });
+}
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -207,9 +207,14 @@
 impl Machine {
     /// Says something of the server, and returns the status of the answer.
     pub async fn say(&self, state: &str, sequence: u64) -> u16 {
+        self.say_cold(state, sequence, 0).await
+    }
+
+    /// The same of a server that is cold for so many milliseconds more.
+    pub async fn say_cold(&self, state: &str, sequence: u64, left_ms: u64) -> u16 {
         let body = json!({ "service": self.pool, "address": self.server.address(),
             "zone": "a", "version": "v1", "capacity_slots": 8, "state": state,
-            "warmup_left_ms": 0, "sequence": sequence, "born": 1 });
+            "warmup_left_ms": left_ms, "sequence": sequence, "born": 1 });
         self.post("Heartbeat", &body.to_string()).await
     }
 
