Health endpoints tell that an upstream is cold

On the product's own interface an upstream that does not announce itself has only its health endpoint to say so, by X-Bluebellswitch-Warmup-Ms.

--- a/src/connection/header.rs
+++ b/src/connection/header.rs
@@ -48,6 +48,9 @@
     pub rejected: Option<&'static str>,
     /// On an answer: without it a success is none.
     pub seal: Option<&'static str>,
+    /// On a health endpoint's answer: how much longer the upstream is cold, in
+    /// milliseconds.
+    pub warmup: Option<&'static str>,
 }
 
 impl Names {
@@ -66,6 +69,7 @@
             target: None,
             rejected: None,
             seal: None,
+            warmup: Some("x-bluebellswitch-warmup-ms"),
         }
     }
 
@@ -172,6 +176,12 @@
     text.trim().parse().ok().map(Span::from_ms)
 }
 
+/// How much longer the upstream says that it is cold, where it says so.
+pub(crate) fn warmup(original: &HeaderMap, names: &Names) -> Option<Span> {
+    let text = original.get(names.warmup?)?.to_str().ok()?;
+    text.trim().parse().ok().map(Span::from_ms)
+}
+
 /// The caller's own id of its request.
 pub(crate) fn request(headers: &[(String, Bytes)], names: &Names) -> Option<Bytes> {
     let wanted = names.request?;
--- a/src/connection/upstream.rs
+++ b/src/connection/upstream.rs
@@ -102,6 +102,8 @@
     pub(crate) head: Head,
     /// The upstream said that it has not run the request.
     pub(crate) rejected: bool,
+    /// How much longer the upstream says that it is cold.
+    pub(crate) warmup: Option<Span>,
     body: Option<Body>,
 }
 
@@ -210,6 +212,7 @@
         let mut answer = Answer {
             head,
             rejected,
+            warmup: header::warmup(answer.headers(), &self.names),
             body: None,
         };
         if empty {
--- a/src/process/probe.rs
+++ b/src/process/probe.rs
@@ -40,7 +40,10 @@
     loop {
         tokio::time::sleep(PERIOD.to_std()).await;
         let Some(path) = path(&carrier) else { continue };
-        let finding = probe(&carrier, path).await;
+        let (finding, warmup) = probe(&carrier, path).await;
+        if let Some(left) = warmup {
+            carrier.on(Event::Warmup(left));
+        }
         carrier.on(Event::Health(finding == Finding::Well));
         refusals = match finding {
             Finding::Refused => refusals + 1,
@@ -65,7 +68,8 @@
     pool.health.clone()
 }
 
-async fn probe(carrier: &Carrier, path: String) -> Finding {
+/// Probes once. The answer may tell how much longer the upstream is cold.
+async fn probe(carrier: &Carrier, path: String) -> (Finding, Option<Span>) {
     let head = Head {
         method: "GET".to_owned(),
         target: path,
@@ -84,11 +88,16 @@
             .map_err(|_| End::Cut)?
             .is_some()
         {}
-        Ok(answer.head.status)
+        Ok(answer)
+    };
+    let answer = match tokio::time::timeout(PERIOD.to_std(), exchange).await {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(End::Refused)) => return (Finding::Refused, None),
+        _ => return (Finding::Ill, None),
     };
-    match tokio::time::timeout(PERIOD.to_std(), exchange).await {
-        Ok(Ok(200..=299)) => Finding::Well,
-        Ok(Err(End::Refused)) => Finding::Refused,
+    let finding = match answer.head.status {
+        200..=299 => Finding::Well,
         _ => Finding::Ill,
-    }
+    };
+    (finding, answer.warmup)
 }
--- a/tests/path/upstream.rs
+++ b/tests/path/upstream.rs
@@ -6,11 +6,13 @@
 };
 
 use bluebellswitch::{
+    clock::Span,
     metric::Counter,
     standin::{
         caller::Caller,
         upstream::Act, //
     },
+    unit::Rate,
 };
 use bytes::Bytes;
 use tokio::net::TcpStream;
@@ -75,6 +77,39 @@
     });
 }
 
+/// Guards against a cold upstream that tells so by its health endpoint alone.
+#[test]
+fn health_probe_tells_that_the_upstream_is_cold() {
+    run(async {
+        let cold = Rc::new(Cell::new(true));
+        let state = cold.clone();
+        let site = Site::start(move |seen| match seen.target.as_str() {
+            "/health" if state.get() => {
+                let left = ("x-bluebellswitch-warmup-ms", "60000".to_owned());
+                Act::Answer(200, vec![left], Bytes::new())
+            }
+            "/health" => {
+                let left = ("x-bluebellswitch-warmup-ms", "0".to_owned());
+                Act::Answer(200, vec![left], Bytes::new())
+            }
+            _ => Act::whole("ok"),
+        })
+        .await;
+        let mut probed = snapshot();
+        probed.version.0 += 1;
+        let pool = &mut probed.tables.pools[0];
+        pool.health = Some("/health".to_owned());
+        pool.cold = Some(Rate::per_second(1).scaled(100));
+        pool.warmup = Span::from_secs(60);
+        site.inner.adopt(Rc::new(probed));
+        more_probes(&site).await;
+        let caller = Caller::new(site.inner.addresses().callers);
+        wait_for(&caller, 503).await;
+        cold.set(false);
+        wait_for(&caller, 200).await;
+    });
+}
+
 /// Waits for three further probes.
 async fn more_probes(site: &Site) {
     let probes = || {
