--- a/src/command/latency.rs
+++ b/src/command/latency.rs
@@ -8,6 +8,7 @@
 //! nodes answer, for the processor time that each spends on a request.
 
 use std::{
+    collections::BTreeMap,
     fmt,
     net::SocketAddr,
     rc::Rc,
@@ -520,7 +521,7 @@
     let key = Key::seal("measure-1".parse()?, "measure".parse()?, "salt", "secret");
     Ok(Snapshot {
         callers: None,
-        evacuations: std::collections::BTreeMap::new(),
+        evacuations: BTreeMap::new(),
         version: Version(1),
         tables: Tables {
             routes: serde_json::from_str(routes).map_err(wrong)?,
--- a/src/process/announce.rs
+++ b/src/process/announce.rs
@@ -45,7 +45,7 @@
 /// One announcement.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Word {
+pub struct Announcement {
     /// The name that the service gives itself.
     pub upstream: String,
     /// When this life of it began, by its own clock; a later life is higher.
@@ -70,7 +70,7 @@
     pub warmup: Span,
 }
 
-impl Word {
+impl Announcement {
     /// Reads the product's own form.
     ///
     /// # Errors
@@ -120,7 +120,7 @@
     heartbeat: Span,
     upstream: Option<Upstream>,
     /// The last word of a service of which nothing else is known.
-    left: Option<Word>,
+    left: Option<Announcement>,
     heard: Time,
 }
 
@@ -155,7 +155,7 @@
     }
 
     /// Takes a word.
-    pub fn on(&mut self, now: Time, word: &Word) -> Verdict {
+    pub fn on(&mut self, now: Time, word: &Announcement) -> Verdict {
         let foreign_pool = word.pool.as_ref().is_some_and(|pool| *pool != self.pool);
         let foreign_place = word.address.is_some_and(|address| address != self.address);
         if foreign_pool || foreign_place {
@@ -182,7 +182,7 @@
     /// delayed comes after it. Believing that would send requests to a service
     /// whose leaving was acknowledged. Where the last word names no life, only the
     /// first words of a life are of a later one.
-    fn has_left(&self, word: &Word) -> bool {
+    fn has_left(&self, word: &Announcement) -> bool {
         let Some(left) = self.left.as_ref().filter(|l| l.upstream == word.upstream) else {
             return false;
         };
@@ -192,7 +192,7 @@
         }
     }
 
-    fn compare(&mut self, now: Time, word: &Word, known: &Upstream) -> Verdict {
+    fn compare(&mut self, now: Time, word: &Announcement, known: &Upstream) -> Verdict {
         let life = word.life.unwrap_or(known.life);
         if life < known.life {
             return Verdict::Old;
@@ -222,7 +222,7 @@
         }
     }
 
-    fn believe(&mut self, now: Time, word: &Word, before: Option<&Upstream>) -> Verdict {
+    fn believe(&mut self, now: Time, word: &Announcement, before: Option<&Upstream>) -> Verdict {
         let upstream = Upstream {
             name: word.upstream.clone(),
             life: word.life.or(before.map(|b| b.life)).unwrap_or_default(),
--- a/src/process/beside.rs
+++ b/src/process/beside.rs
@@ -13,8 +13,8 @@
 
 use crate::{
     announce::{
+        Announcement, //
         Verdict,
-        Word, //
     },
     carrier::Carrier,
     clock::{
@@ -65,7 +65,7 @@
     }
 }
 
-fn judge(carrier: &Carrier, word: &Word) -> Response<BoxBody> {
+fn judge(carrier: &Carrier, word: &Announcement) -> Response<BoxBody> {
     match carrier.heard(word) {
         Verdict::Foreign => empty(StatusCode::NOT_FOUND),
         Verdict::Changed | Verdict::Same | Verdict::Old => {
@@ -82,7 +82,7 @@
 
 impl Carrier {
     /// Takes a word of the service.
-    pub(crate) fn heard(&self, word: &Word) -> Verdict {
+    pub(crate) fn heard(&self, word: &Announcement) -> Verdict {
         let now = Clock.now();
         let mut announcer = self.announcer.borrow_mut();
         let verdict = announcer.on(now, word);
--- a/src/process/carrier.rs
+++ b/src/process/carrier.rs
@@ -84,7 +84,8 @@
         Limits,
         Settings, //
     },
-    store, warmup,
+    store,
+    warmup, //
 };
 
 /// An attempt that this node sent.
--- a/src/process/feed.rs
+++ b/src/process/feed.rs
@@ -58,8 +58,8 @@
 /// Time after which an unanswered question is asked elsewhere.
 const ANSWER_TIMEOUT: Span = Span::from_ms(700);
 /// How long a watcher is passed over that did not answer, or had only old word.
-const PASSED_OVER: Span = Span::from_secs(2);
-/// Word of a watcher older than this is old.
+const WATCHER_BACKOFF: Span = Span::from_secs(2);
+/// Age from which a watcher's confirmation is stale.
 const MAX_WATCHER_AGE: Span = Span::from_ms(2500);
 /// How long a node goes on watching the store after it was last asked.
 const WATCH_AFTER_QUESTION: Span = Span::from_secs(3);
@@ -385,9 +385,9 @@
     next_number: u64,
 }
 
-/// News with the time at which it was certainly so.
+/// News with the time at which the store confirmed it.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Word {
+pub struct Update {
     /// Of what.
     pub topic: Topic,
     /// What the store would have answered.
@@ -424,7 +424,7 @@
     ) -> Option<&'a Instance> {
         let is_poor = |name: &Instance| {
             let since = self.poor.get(name);
-            since.is_some_and(|since| now.since(*since) < PASSED_OVER)
+            since.is_some_and(|since| now.since(*since) < WATCHER_BACKOFF)
         };
         watchers.find(|name| !is_poor(name))
     }
@@ -472,7 +472,7 @@
         number: u64,
         held: Span,
         news: BTreeMap<Topic, News>,
-    ) -> Vec<Word> {
+    ) -> Vec<Update> {
         let Some(open) = self.open.take_if(|open| open.number == number) else {
             return Vec::new();
         };
@@ -487,7 +487,7 @@
                 continue;
             };
             if self.wanted.remove(&topic).is_some() {
-                words.push(Word {
+                words.push(Update {
                     topic,
                     answer,
                     confirmed: Time::from_ms(answered.as_ms() - age),
--- a/src/process/interface.rs
+++ b/src/process/interface.rs
@@ -6,7 +6,7 @@
 //! [`Interface::own`] is the product's own; an adapter makes another.
 
 use crate::{
-    announce::Word,
+    announce::Announcement,
     code::Code,
     connection::header::Names,
     document::Snapshot,
@@ -59,7 +59,7 @@
     /// # Errors
     ///
     /// When it names no upstream that could be used.
-    pub announcement: fn(Notice<'_>) -> Result<Word>,
+    pub announcement: fn(Notice<'_>) -> Result<Announcement>,
     /// The path of the question whether callers may be sent here.
     pub ready_path: &'static str,
     /// Whether an upstream's answer may end with its connection, whole if that
@@ -80,7 +80,7 @@
             names: Names::own(),
             status: Code::status,
             configuration: None,
-            announcement: Word::read,
+            announcement: Announcement::read,
             ready_path: "/health",
             closes: false,
             held_answer: Size::bytes(0),
--- a/src/process/node/listed.rs
+++ b/src/process/node/listed.rs
@@ -56,12 +56,12 @@
 const REFRESH: Span = Span::from_ms(100);
 /// How long a leaving node still serves callers, at least: the platform asks
 /// twice, a second apart, before it sends them elsewhere.
-const LINGER: Span = Span::from_ms(3000);
+const MIN_DRAIN: Span = Span::from_ms(3000);
 /// How long a leaving node waits for the store to take its record out.
-const LEAVE: Span = Span::from_ms(400);
+const DEREGISTER_TIMEOUT: Span = Span::from_ms(400);
 /// The time between two tries to reach a member again, at first and at most.
-const REDIAL: Span = Span::from_ms(200);
-const LONGEST_REDIAL: Span = Span::from_secs(2);
+const FIRST_RECONNECT_BACKOFF: Span = Span::from_ms(200);
+const MAX_RECONNECT_BACKOFF: Span = Span::from_secs(2);
 
 /// Bounds that the fleet's operators set for all nodes together.
 #[derive(Clone, Copy, Debug)]
@@ -116,9 +116,9 @@
 
 /// A member that cannot be reached.
 #[derive(Clone, Copy, Debug)]
-struct Away {
+struct Reconnect {
     next: Time,
-    pause: Span,
+    backoff: Span,
 }
 
 /// Watchers of a domain in the order in which the others ask them.
@@ -147,7 +147,7 @@
     watchers: Vec<Instance>,
     /// Who was asked last for what the store holds; nobody for the store itself.
     source: Option<Instance>,
-    away: BTreeMap<Instance, Away>,
+    away: BTreeMap<Instance, Reconnect>,
     next: Time,
     leaving: Option<Time>,
     left: Option<Time>,
@@ -229,7 +229,7 @@
     /// platform has stopped sending callers long before.
     pub(super) fn is_closing(&self, now: Time) -> bool {
         let leaving = self.listed.as_ref().and_then(|listed| listed.leaving);
-        leaving.is_some_and(|since| now.since(since) >= LINGER)
+        leaving.is_some_and(|since| now.since(since) >= MIN_DRAIN)
     }
 
     pub(super) fn listed_refusal(&self) -> Option<Code> {
@@ -273,8 +273,8 @@
         self.inquire(now, &mut listed, out);
         for (peer, away) in &mut listed.away {
             if now >= away.next {
-                away.next = now + away.pause;
-                away.pause = Span::from_ms(away.pause.as_ms() * 2).min(LONGEST_REDIAL);
+                away.next = now + away.backoff;
+                away.backoff = Span::from_ms(away.backoff.as_ms() * 2).min(MAX_RECONNECT_BACKOFF);
                 out.push(Action::Dial(peer.clone()));
             }
         }
@@ -431,9 +431,9 @@
         let Some(member) = self.members.get(peer).cloned() else {
             return;
         };
-        listed.away.entry(peer.clone()).or_insert(Away {
-            next: now + REDIAL,
-            pause: REDIAL,
+        listed.away.entry(peer.clone()).or_insert(Reconnect {
+            next: now + FIRST_RECONNECT_BACKOFF,
+            backoff: FIRST_RECONNECT_BACKOFF,
         });
         if member.status == Status::Alive {
             self.members.insert(Peer {
@@ -486,13 +486,16 @@
         let Some(listed) = &mut self.listed else {
             return true;
         };
-        if listed.leaving.is_none_or(|since| now.since(since) < LINGER) {
+        if listed
+            .leaving
+            .is_none_or(|since| now.since(since) < MIN_DRAIN)
+        {
             return false;
         }
         let left = *listed.left.get_or_insert_with(|| {
             listed.directory.leave(now);
             now
         });
-        listed.directory.has_left() || now.since(left) >= LEAVE
+        listed.directory.has_left() || now.since(left) >= DEREGISTER_TIMEOUT
     }
 }
--- a/src/process/node/listed/inquiry.rs
+++ b/src/process/node/listed/inquiry.rs
@@ -94,7 +94,7 @@
     }
 
     /// Takes what a watcher says of the store.
-    fn told(&mut self, now: Time, word: feed::Word, out: &mut Vec<Action>) {
+    fn told(&mut self, now: Time, word: feed::Update, out: &mut Vec<Action>) {
         let Some(listed) = &mut self.listed else {
             return;
         };
--- a/src/request/balance.rs
+++ b/src/request/balance.rs
@@ -36,46 +36,46 @@
     policy::Policy, //
 };
 
-/// How long a told load counts; it fades over this time.
-const FADE: Span = Span::from_secs(2);
-/// How long an instance's word that it leaves counts: longer than its change of
-/// mind takes to reach all members.
-const LEAVING: Span = Span::from_secs(1);
-/// The weight of the newest outcome in an instance's success.
-const FRESH: f64 = 0.1;
-/// An instance that succeeds less often is left out, after this many outcomes.
-const ILL: f64 = 0.5;
-const OUTCOMES: u32 = 8;
-/// How long it is left out at first, doubled each time.
-const EJECTED: Span = Span::from_secs(1);
-const LONGEST: Span = Span::from_secs(30);
-/// How long after its last failure an instance counts as well again.
-const FORGIVEN: Span = Span::from_secs(5);
+/// Time over which a reported load fades.
+const LOAD_FADE: Span = Span::from_secs(2);
+/// How long an instance counts as leaving after it reported so. Longer than a
+/// cancelled drain takes to reach all members.
+const LEAVING_TIMEOUT: Span = Span::from_secs(1);
+/// Weight of the newest outcome in an instance's success rate.
+const SUCCESS_EWMA_WEIGHT: f64 = 0.1;
+/// An instance that succeeds less often is ejected, after this many outcomes.
+const MIN_SUCCESS: f64 = 0.5;
+const MIN_OUTCOMES: u32 = 8;
+/// Length of the first ejection, doubled each time, and of the longest.
+const FIRST_EJECTION: Span = Span::from_secs(1);
+const MAX_EJECTION: Span = Span::from_secs(30);
+/// Time after its last outcome in which an instance's failures are forgotten.
+const FAILURE_FADE: Span = Span::from_secs(5);
 /// When more than this share of a pool looks ill, nobody is left out: then the
 /// fault is likely not theirs, and the rest could not carry it.
-const PANIC: f64 = 0.5;
+const PANIC_SHARE: f64 = 0.5;
 /// Use of an instance of the own domain up to which a request surely finds a
 /// slot there, so that one further away could not answer earlier.
-const SPILL: f64 = 0.85;
-/// How much less an instance of another domain must be used to be worth the
-/// way. Loads are known a moment late and differ by chance, also where all are
-/// alike full: following each small difference moves bytes and ends no wait.
-const WORTHWHILE: f64 = 0.2;
+const SPILL_USE: f64 = 0.85;
+/// How much less an instance of another domain must be used to get a request.
+/// Loads are known late and differ by chance, so following each small difference
+/// would move bytes between domains without shortening any wait.
+const MIN_CROSS_DOMAIN_GAIN: f64 = 0.2;
 /// The weights of the newest report in a route's usual time of service, and in how
 /// much slower than usual an instance is.
 const USUAL_WEIGHT: f64 = 0.02;
 const SLOWNESS_WEIGHT: f64 = 0.05;
 /// Bound on how much slower or faster an instance may seem.
 const MAX_SLOWNESS: f64 = 4.0;
-/// Slots of an instance that has told none.
-const UNTOLD: f64 = 4.0;
+/// Slots of an instance that has reported none.
+const DEFAULT_SLOTS: f64 = 4.0;
 
 /// What is known of one instance.
 #[derive(Clone, Debug)]
 struct View {
     life: Incarnation,
     outstanding: u32,
-    told: Option<Told>,
+    told: Option<LoadReport>,
     /// Its time of service, relative to that of all instances.
     slowness: f64,
     success: f64,
@@ -86,7 +86,7 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Told {
+struct LoadReport {
     at: Time,
     load: u32,
     slots: u32,
@@ -214,7 +214,7 @@
         if report.life > view.life {
             view.reborn(report.life);
         }
-        view.told = Some(Told {
+        view.told = Some(LoadReport {
             at: now,
             load: report.load,
             slots: report.slots,
@@ -246,10 +246,10 @@
             Mark::Ill => 0.0,
             Mark::Neither => return,
         };
-        view.success += (success - view.success) * FRESH;
+        view.success += (success - view.success) * SUCCESS_EWMA_WEIGHT;
         view.marked = now;
         view.outcomes += 1;
-        if view.outcomes >= OUTCOMES && view.success < ILL {
+        if view.outcomes >= MIN_OUTCOMES && view.success < MIN_SUCCESS {
             view.eject(now);
         }
     }
@@ -293,7 +293,7 @@
         };
         let fit: Vec<&Peer> = alive.iter().filter(well).copied().collect();
         let ejected = (alive.len() - fit.len()) as f64;
-        let panic = ejected > alive.len() as f64 * PANIC;
+        let panic = ejected > alive.len() as f64 * PANIC_SHARE;
         match panic || !policy.ejection {
             true => alive,
             false => fit,
@@ -308,7 +308,9 @@
     fn leaving(&self, now: Time, peer: &Peer) -> bool {
         let view = self.views.get(&peer.instance);
         view.is_some_and(|view| {
-            let told = view.told.filter(|told| now.since(told.at) <= LEAVING);
+            let told = view
+                .told
+                .filter(|told| now.since(told.at) <= LEAVING_TIMEOUT);
             peer.incarnation <= view.life && told.is_some_and(|told| told.leaving)
         })
     }
@@ -329,11 +331,11 @@
         }
         let home = self.better(now, &near, policy, rng)?;
         let used = self.used(now, home);
-        if used <= SPILL {
+        if used <= SPILL_USE {
             return Some(home);
         }
         let away = self.better(now, &far, policy, rng)?;
-        match self.used(now, away) + WORTHWHILE < used {
+        match self.used(now, away) + MIN_CROSS_DOMAIN_GAIN < used {
             true => Some(away),
             false => Some(home),
         }
@@ -371,11 +373,11 @@
     /// How full an instance would be with one request more.
     fn used(&self, now: Time, peer: &Peer) -> f64 {
         let Some(view) = self.views.get(&peer.instance) else {
-            return 1.0 / UNTOLD;
+            return 1.0 / DEFAULT_SLOTS;
         };
         let slots = view
             .told
-            .map_or(UNTOLD, |told| f64::from(told.slots.max(1)));
+            .map_or(DEFAULT_SLOTS, |told| f64::from(told.slots.max(1)));
         let health = view.health(now).max(0.05).powi(2);
         (view.load(now) + 1.0) / (slots * health)
     }
@@ -404,25 +406,25 @@
             return own;
         };
         let others = told.load.saturating_sub(told.outstanding);
-        let age = now.since(told.at).as_ms() as f64 / FADE.as_ms() as f64;
+        let age = now.since(told.at).as_ms() as f64 / LOAD_FADE.as_ms() as f64;
         own + f64::from(others) * (1.0 - age).max(0.0)
     }
 
     /// The success, drawn towards one while nothing is heard: an instance that
     /// looks too ill to be tried would never be found well again.
     fn health(&self, now: Time) -> f64 {
-        let quiet = now.since(self.marked).as_ms() as f64 / FORGIVEN.as_ms() as f64;
+        let quiet = now.since(self.marked).as_ms() as f64 / FAILURE_FADE.as_ms() as f64;
         self.success + (1.0 - self.success) * quiet.min(1.0)
     }
 
     fn eject(&mut self, now: Time) {
         let factor = 1 << self.ejections.min(5);
-        let span = Span::from_ms(EJECTED.as_ms() * factor).min(LONGEST);
+        let span = Span::from_ms(FIRST_EJECTION.as_ms() * factor).min(MAX_EJECTION);
         self.ejections += 1;
         self.ejected = now + span;
         // It comes back on probation: a few failures put it out again.
-        self.outcomes = OUTCOMES / 2;
-        self.success = ILL;
+        self.outcomes = MIN_OUTCOMES / 2;
+        self.success = MIN_SUCCESS;
     }
 
     fn reborn(&mut self, life: Incarnation) {
--- a/src/request/inbound/caller.rs
+++ b/src/request/inbound/caller.rs
@@ -31,21 +31,21 @@
 /// carry whole milliseconds, so that it may seem a little earlier; it seems
 /// later by the time that the call waited to be read, on a busy node some
 /// milliseconds.
-const EARLIER: Span = Span::from_ms(2);
-const LATER: Span = Span::from_ms(12);
+const MAX_EARLIER: Span = Span::from_ms(2);
+const MAX_LATER: Span = Span::from_ms(12);
 /// How soon after an answer the next call of the same request follows on its
 /// connection.
-const SOON: Span = Span::from_ms(10);
+const FOLLOW_UP_TIMEOUT: Span = Span::from_ms(10);
 /// The share of running attempts with more time left than any call on a route
 /// has, from which on the route bounds its calls itself.
-const BOUNDED: f64 = 0.2;
+const MIN_BOUNDED_SHARE: f64 = 0.2;
 /// The weight of the newest call in that share.
-const FRESH: f64 = 0.05;
+const BOUND_EWMA_WEIGHT: f64 = 0.05;
 /// Calls for each request of a route from which on it is known to make them.
-const KNOWN: f64 = 0.3;
+const MIN_CALL_SHARE: f64 = 0.3;
 /// Connections that are remembered. Those on which nothing was answered of late
 /// tell nothing and go first.
-const ROOM: usize = 1024;
+const MAX_CONNECTIONS: usize = 1024;
 
 /// What tells the makers of calls.
 #[derive(Clone, Debug, Default)]
@@ -125,17 +125,17 @@
         };
         bound.most = bound.most.max(left);
         let all = self.running.len().max(1) as f64;
-        let longest = now + bound.most + LATER;
+        let longest = now + bound.most + MAX_LATER;
         let more = self.running.values().filter(|r| r.ends() > longest).count() as f64;
-        bound.more += (more / all - bound.more) * FRESH;
-        bound.more >= BOUNDED
+        bound.more += (more / all - bound.more) * BOUND_EWMA_WEIGHT;
+        bound.more >= MIN_BOUNDED_SHARE
     }
 
     /// The attempt that ends nearest to a call.
     fn by_end(&self, end: Time) -> Option<id::Request> {
         let near = self.active().filter_map(|(request, running)| {
             let ends = running.ends();
-            let fits = end.until(ends) <= EARLIER && end.since(ends) <= LATER;
+            let fits = end.until(ends) <= MAX_EARLIER && end.since(ends) <= MAX_LATER;
             fits.then(|| (end.since(ends).max(end.until(ends)), *request))
         });
         near.min().map(|(_, request)| request)
@@ -144,7 +144,7 @@
     /// The attempt whose former call was answered on this connection just now.
     fn by_connection(&self, now: Time, connection: id::Connection) -> Option<id::Request> {
         let former = self.makers.connections.get(&connection)?;
-        let just = now.since(former.answered?) <= SOON;
+        let just = now.since(former.answered?) <= FOLLOW_UP_TIMEOUT;
         let running = self.running.get(&former.maker)?;
         (just && !running.is_aborted()).then_some(former.maker)
     }
@@ -154,7 +154,7 @@
     /// they begin.
     fn by_start(&self, route: &id::Route, levels: &Levels) -> Option<id::Request> {
         let fits = |running: &Running| {
-            let known = levels.share(&running.route, route) >= KNOWN;
+            let known = levels.share(&running.route, route) >= MIN_CALL_SHARE;
             (known, !running.has_called(route), running.begun())
         };
         let best = self.active().max_by_key(|(_, running)| fits(running));
@@ -169,11 +169,15 @@
 
 impl Makers {
     fn remember(&mut self, now: Time, connection: id::Connection, former: Former) {
-        if self.connections.len() >= ROOM {
-            let tells = |former: &Former| former.answered.is_none_or(|at| now.since(at) <= SOON);
+        if self.connections.len() >= MAX_CONNECTIONS {
+            let tells = |former: &Former| {
+                former
+                    .answered
+                    .is_none_or(|at| now.since(at) <= FOLLOW_UP_TIMEOUT)
+            };
             self.connections.retain(|_, former| tells(former));
         }
-        if self.connections.len() < ROOM {
+        if self.connections.len() < MAX_CONNECTIONS {
             self.connections.insert(connection, former);
         }
     }
--- a/src/request/inbound/site.rs
+++ b/src/request/inbound/site.rs
@@ -16,10 +16,10 @@
 };
 
 /// The weight of the newest answer in the usual time of service.
-const FRESH: f64 = 0.1;
+const SERVICE_EWMA_WEIGHT: f64 = 0.1;
 
 /// How much smaller an upstream looks that its endpoint speaks ill of.
-const ILL: u32 = 4;
+const UNHEALTHY_DIVISOR: u32 = 4;
 
 /// The pool's bounds in force, and the upstream's state.
 #[derive(Clone, Debug)]
@@ -61,7 +61,7 @@
 }
 
 /// Time for which a usual time of service counts without being confirmed.
-const LEARNT: Span = Span::from_ms(500);
+const SERVICE_TIMEOUT: Span = Span::from_ms(500);
 
 impl Site {
     /// A site whose row is not known yet.
@@ -128,7 +128,7 @@
     pub fn shown(&self, limit: u32) -> u32 {
         match self.well {
             true => limit,
-            false => (limit / ILL).max(1),
+            false => (limit / UNHEALTHY_DIVISOR).max(1),
         }
     }
 
@@ -154,7 +154,7 @@
     /// while requests are still served; then some are let in and it is learnt
     /// anew.
     pub fn typical(&self, now: Time, route: &id::Route) -> Span {
-        let fresh = |usual: &&Usual| now.since(usual.at) <= LEARNT;
+        let fresh = |usual: &&Usual| now.since(usual.at) <= SERVICE_TIMEOUT;
         let usual = self.routes.get(route).filter(fresh);
         Span::from_ms(usual.map_or(0, |usual| usual.ms as u64))
     }
@@ -185,6 +185,6 @@
 fn blend(mean: f64, sample: f64) -> f64 {
     match mean {
         0.0 => sample,
-        _ => mean + (sample - mean) * FRESH,
+        _ => mean + (sample - mean) * SERVICE_EWMA_WEIGHT,
     }
 }
--- a/src/request/inbound/waiting.rs
+++ b/src/request/inbound/waiting.rs
@@ -37,11 +37,11 @@
 
 /// The share of its time that a call of a service may wait. Refusing it fails
 /// the whole request that made it, with all that was done for that.
-const CALL_PATIENCE: f64 = 0.5;
+const MAX_NESTED_WAIT_SHARE: f64 = 0.5;
 /// Lower bound in ms of the time between two starts.
 const MIN_GAP: f64 = 0.001;
 /// The longest wait, in targets of the queue's delay.
-const PATIENCE: f64 = 10.0;
+const MAX_WAIT_TARGETS: f64 = 10.0;
 
 /// One attempt before its start.
 #[derive(Clone, Debug)]
@@ -106,9 +106,9 @@
         if world.policy.admission == Admission::Level {
             // The gap of a cold upstream does not count: other instances may be warm.
             let gap = self.site.gap(self.slots(now));
-            let mut patience = self.site.target(gap).scale(PATIENCE);
+            let mut patience = self.site.target(gap).scale(MAX_WAIT_TARGETS);
             if waiting.context.depth > 0 && world.policy.attribution {
-                patience = patience.max(waiting.context.left.scale(CALL_PATIENCE));
+                patience = patience.max(waiting.context.left.scale(MAX_NESTED_WAIT_SHARE));
             }
             waiting.expires = waiting.expires.min(now + patience);
         }
--- a/src/request/ingress/attempt.rs
+++ b/src/request/ingress/attempt.rs
@@ -35,11 +35,11 @@
 
 /// How long an inbound proxy is asked what became of an attempt, when its link
 /// cannot be made.
-const PATIENCE: Span = Span::from_secs(2);
+const ATTEMPT_QUERY_TIMEOUT: Span = Span::from_secs(2);
 /// The time between two questions.
-const AGAIN: Span = Span::from_ms(100);
+const ATTEMPT_QUERY_INTERVAL: Span = Span::from_ms(100);
 /// The weight of the newest answer in a route's usual time.
-const FRESH: f64 = 0.1;
+const LATENCY_EWMA_WEIGHT: f64 = 0.1;
 
 impl Router {
     /// Sends the call's next attempt.
@@ -223,7 +223,7 @@
         }
         let took = now.since(self.attempts[&request].sent).as_ms() as f64;
         let typical = self.typical.entry(call.route.clone()).or_insert(took);
-        *typical += (took - *typical) * FRESH;
+        *typical += (took - *typical) * LATENCY_EWMA_WEIGHT;
         world.counts.add(Counter::Whole);
         let mark = self.attempts[&request].mark;
         self.settle(now, request, report.spent, mark, world);
@@ -320,10 +320,10 @@
                     self.abandon(now, request, Mark::Ill);
                     return self.retry(now, number, failure, reason, world, out);
                 }
-                self.revoke(now, request, number, now + PATIENCE, out);
+                self.revoke(now, request, number, now + ATTEMPT_QUERY_TIMEOUT, out);
             }
             State::Revoking { until, .. } => {
-                let again = (now + AGAIN).min(until);
+                let again = (now + ATTEMPT_QUERY_INTERVAL).min(until);
                 self.state(
                     number,
                     State::Revoking {
@@ -355,7 +355,7 @@
             return;
         };
         let until = until.min(call.deadline);
-        let again = (now + AGAIN + AGAIN).min(until);
+        let again = (now + ATTEMPT_QUERY_INTERVAL + ATTEMPT_QUERY_INTERVAL).min(until);
         out.push(Action::Revoke {
             peer: attempt.peer.clone(),
             request,
--- a/src/request/limit.rs
+++ b/src/request/limit.rs
@@ -15,18 +15,18 @@
     Time, //
 };
 
-const WINDOW: Span = Span::from_ms(100);
-const FIRST: f64 = 16.0;
-const LEAST: f64 = 2.0;
-const MOST: f64 = 4096.0;
+const MIN_WINDOW: Span = Span::from_ms(100);
+const INITIAL_LIMIT: f64 = 16.0;
+const MIN_LIMIT: f64 = 2.0;
+const MAX_LIMIT: f64 = 4096.0;
 /// How much the limit grows in a window.
 const GROWTH: f64 = 1.2;
 /// Slower than the best by more than this may be crowded.
-const CROWDED: f64 = 1.5;
+const MAX_SLOWDOWN: f64 = 1.5;
 /// The share of the limit with which that is tried.
-const TRIAL: f64 = 0.6;
+const TRIAL_SHARE: f64 = 0.6;
 /// The share of the rate before that a trial must keep.
-const KEPT: f64 = 0.8;
+const MIN_KEPT_RATE: f64 = 0.8;
 
 /// The limit of one upstream.
 #[derive(Clone, Debug)]
@@ -62,7 +62,7 @@
     fn default() -> Self {
         Self {
             configured: None,
-            learnt: FIRST,
+            learnt: INITIAL_LIMIT,
             trial: None,
             window: Window::default(),
             best: f64::INFINITY,
@@ -90,7 +90,7 @@
 
     /// Requests that may run at a time now.
     pub fn current(&self, now: Time) -> u32 {
-        let most = self.configured.map_or(MOST, f64::from);
+        let most = self.configured.map_or(MAX_LIMIT, f64::from);
         let ramp = self.warm.map_or(1.0, |(since, ramp)| {
             let share = now.since(since).as_ms() as f64 / ramp.as_ms().max(1) as f64;
             share.clamp(0.1, 1.0)
@@ -118,12 +118,12 @@
         let window = std::mem::take(&mut self.window);
         let mean = window.total_ms / f64::from(window.served.max(1));
         self.window.begun = now;
-        self.window.ends = now + WINDOW.max(Span::from_ms((mean * 1.5) as u64));
+        self.window.ends = now + MIN_WINDOW.max(Span::from_ms((mean * 1.5) as u64));
         if window.refused {
-            self.learnt = (self.learnt * 0.7).max(LEAST);
+            self.learnt = (self.learnt * 0.7).max(MIN_LIMIT);
             return;
         }
-        let grown = (self.learnt * GROWTH + 1.0).min(MOST);
+        let grown = (self.learnt * GROWTH + 1.0).min(MAX_LIMIT);
         match self.configured {
             Some(slots) => self.learnt = grown.min(f64::from(slots.max(1))),
             None if window.served > 0 => self.learn(now, window, grown),
@@ -142,18 +142,18 @@
             }
             // Too little came to tell.
             Some(trial) if !used => self.learnt = trial.limit,
-            Some(trial) if rate < trial.rate * KEPT => {
+            Some(trial) if rate < trial.rate * MIN_KEPT_RATE => {
                 self.learnt = trial.limit;
                 self.best = mean;
             }
             Some(_) => self.best = self.best.min(mean),
-            None if used && mean > self.best * CROWDED => {
+            None if used && mean > self.best * MAX_SLOWDOWN => {
                 self.trial = Some(Trial {
                     limit: self.learnt,
                     rate,
                     mixed: true,
                 });
-                self.learnt = (self.learnt * TRIAL).max(LEAST);
+                self.learnt = (self.learnt * TRIAL_SHARE).max(MIN_LIMIT);
             }
             None => {
                 self.best = self.best.min(mean);
--- a/src/standin/site.rs
+++ b/src/standin/site.rs
@@ -5,7 +5,10 @@
 //! the users give them. Kandy's 0.5 ms between domains is rounded up to the clock's
 //! 1 ms; connections and the way from clients are not modelled.
 
-use std::rc::Rc;
+use std::{
+    collections::BTreeMap,
+    rc::Rc, //
+};
 
 use serde::Serialize;
 use serde_json::{
@@ -162,7 +165,7 @@
             far: Span::from_ms(1),
             snapshot: Snapshot {
                 callers: None,
-                evacuations: std::collections::BTreeMap::new(),
+                evacuations: BTreeMap::new(),
                 version: id::Version(1),
                 tables: Tables {
                     routes,
@@ -218,7 +221,7 @@
             far: Span::from_ms(1),
             snapshot: Snapshot {
                 callers: None,
-                evacuations: std::collections::BTreeMap::new(),
+                evacuations: BTreeMap::new(),
                 version: id::Version(1),
                 tables: Tables {
                     routes,
--- a/tests/fleet/feed.rs
+++ b/tests/fleet/feed.rs
@@ -12,8 +12,8 @@
         News,
         Subscriber,
         Topic,
+        Update, //
         Watcher,
-        Word, //
     },
     id::{
         Instance,
@@ -114,7 +114,7 @@
         }
     }
 
-    fn hear(&mut self) -> Vec<Word> {
+    fn hear(&mut self) -> Vec<Update> {
         let reply = self.reply();
         reply.map_or(Vec::new(), |(number, held, news)| {
             self.subscriber.reply(self.now, number, held, news)
--- a/tests/platform/heartbeat.rs
+++ b/tests/platform/heartbeat.rs
@@ -2,10 +2,10 @@
 
 use bluebellswitch::{
     announce::{
+        Announcement, //
         Announcer,
         State,
         Verdict,
-        Word, //
     },
     clock::{
         Span,
@@ -29,7 +29,7 @@
             "sequence": 4, "born": 1000 })
 }
 
-fn read(path: &str, body: &[u8]) -> Result<Word, bluebellswitch::Error> {
+fn read(path: &str, body: &[u8]) -> Result<Announcement, bluebellswitch::Error> {
     let method = "POST";
     heartbeat::read(Notice { method, path, body })
 }
@@ -91,7 +91,7 @@
     let address = ADDRESS.parse().expect("an address");
     let mut announcer = Announcer::new(pool, address, Span::from_ms(1500));
     for (number, (life, sequence, state, verdict)) in words.iter().enumerate() {
-        let word = Word {
+        let word = Announcement {
             upstream: "i-7f".to_owned(),
             life: Some(*life),
             sequence: Some(*sequence),
@@ -158,7 +158,7 @@
     let pool = "mill".parse().expect("a name");
     let address = "10.128.0.9:8080".parse().expect("an address");
     let mut announcer = Announcer::new(pool, address, Span::from_ms(1500));
-    let word = |life, place, state| Word {
+    let word = |life, place, state| Announcement {
         upstream: "i-1".into(),
         life,
         sequence: place,
