--- a/src/request/limit/knee.rs
+++ b/src/request/limit/knee.rs
@@ -34,7 +34,7 @@
 /// A trial that lasts longer finds nothing.
 const MAX_TRIAL: Span = Span::from_secs(20);
 /// Time between two trials.
-const REST: Span = Span::from_secs(10);
+const TRIAL_INTERVAL: Span = Span::from_secs(10);
 /// How much more must be served to change the way.
 const MIN_GAIN: f64 = 0.02;
 
@@ -159,7 +159,7 @@
             });
             self.spares_now = self.spares;
             self.trial = None;
-            self.next = now + REST;
+            self.next = now + TRIAL_INTERVAL;
             return;
         }
         trial.until = now + length;
--- a/src/standin/driver/cold.rs
+++ b/src/standin/driver/cold.rs
@@ -16,7 +16,7 @@
     node::Event, //
 };
 
-const SECOND: Span = Span::from_secs(1);
+const COUNTED_SPAN: Span = Span::from_secs(1);
 
 /// What an upstream bears after its start.
 #[derive(Clone, Copy, Debug)]
@@ -110,7 +110,11 @@
             return false;
         };
         cold.starts.push_back(now);
-        while cold.starts.front().is_some_and(|at| *at + SECOND <= now) {
+        while cold
+            .starts
+            .front()
+            .is_some_and(|at| *at + COUNTED_SPAN <= now)
+        {
             cold.starts.pop_front();
         }
         cold.starts.len() > frailty.bears
--- a/src/standin/trial.rs
+++ b/src/standin/trial.rs
@@ -115,7 +115,7 @@
 }
 
 /// How upstreams come back in [`outage`].
-const FRAILTY: Frailty = Frailty {
+const COLD_FRAILTY: Frailty = Frailty {
     bears: 27,
     time: Span::from_secs(3),
     away: Span::from_ms(1100),
@@ -202,7 +202,7 @@
         pool.cold = is_metered.then_some(COLD_RATE);
     }
     let mut driver = driver(site.setup(seed), Policy::default());
-    driver.weaken(FRAILTY);
+    driver.weaken(COLD_FRAILTY);
     for flow in site.flows(80, RETRIES) {
         driver.flow(flow);
     }
@@ -210,7 +210,7 @@
     let begun = driver.now();
     (0..driver.len()).for_each(|node| driver.crash(node));
     let before = driver.crashes();
-    driver.run_for(FRAILTY.away);
+    driver.run_for(COLD_FRAILTY.away);
     let ended = driver.now();
     driver.run_for(Span::from_secs(30));
     let until = driver.now();
@@ -233,7 +233,7 @@
         pool.cold = Some(COLD_RATE);
     }
     let mut driver = driver(site.setup(seed), Policy::default());
-    driver.weaken(FRAILTY);
+    driver.weaken(COLD_FRAILTY);
     for flow in site.flows(50, 0) {
         driver.flow(flow);
     }
