--- a/tests/fleet/feed.rs
+++ b/tests/fleet/feed.rs
@@ -12,8 +12,8 @@
         News,
         Subscriber,
         Topic,
-        Update, //
-        Watcher,
+        Update,
+        Watcher, //
     },
     id::{
         Instance,
@@ -58,6 +58,17 @@
     }
 }
 
+fn removed(key: &str, at: u64) -> Answer {
+    let change = Change {
+        key: key.to_owned(),
+        entry: None,
+    };
+    Answer::Changes {
+        changes: vec![change],
+        at: Revision(at),
+    }
+}
+
 fn quiet(at: u64) -> Answer {
     Answer::Changes {
         changes: Vec::new(),
@@ -283,3 +294,16 @@
     assert_eq!((changes.len(), *at), (1, Revision(8)));
     assert_eq!(changes[0].entry, Some(large(8)));
 }
+
+/// Guards against an order that begins and ends while a node has no watcher: what it
+/// concerned may be cold all the same.
+#[test]
+fn an_order_taken_back_between_two_questions_is_passed_on() {
+    let mut pair = Pair::new();
+    pair.store(None, &listing(&["a"], 5));
+    pair.store(Some(5), &changed("evacuate/north", 6));
+    pair.store(Some(6), &removed("evacuate/north", 7));
+    pair.ask(Some(5));
+    let heard = pair.hear();
+    assert_eq!(heard[0].answer, removed("evacuate/north", 7));
+}
