--- a/src/request/inbound/waiting.rs
+++ b/src/request/inbound/waiting.rs
@@ -166,7 +166,8 @@
         self.controller
             .passed(context.importance, team, item.weight);
         let ahead = self.queue.ahead(item, order(world.policy));
-        if self.meter.wait(now, ahead) > now.until(waiting.expires) {
+        let cold = self.meter.is_cold();
+        if cold && self.meter.wait(now, ahead) >= now.until(waiting.expires) {
             return Err(Code::UpstreamCold);
         }
         let wait = self.wait(now, ahead);
