--- a/src/standin/trial.rs
+++ b/src/standin/trial.rs
@@ -226,8 +226,8 @@
 }
 
 /// The first failure domain is evacuated at half of the capacity, its upstreams turn
-/// cold, and it is taken back.
-pub fn evacuation(site: &Site, seed: u64) -> Evacuation {
+/// cold, and it is taken back. The nodes hear of it, or they do not.
+pub fn evacuation(site: &Site, is_heard: bool, seed: u64) -> Evacuation {
     let mut site = site.clone();
     for pool in &mut site.snapshot.tables.pools {
         pool.cold = Some(COLD_RATE);
@@ -239,12 +239,16 @@
     }
     driver.run_for(WARM);
     let inside = driver.domain(site.domains[0]);
-    order(&mut driver, &mut site, true);
+    if is_heard {
+        order(&mut driver, &mut site, true);
+    }
     let (evacuated, before) = (driver.now(), driver.begun(&inside));
     driver.run_for(Span::from_secs(10));
     let begun = driver.begun(&inside) - before;
     inside.iter().for_each(|node| driver.chill(*node));
-    order(&mut driver, &mut site, false);
+    if is_heard {
+        order(&mut driver, &mut site, false);
+    }
     let returned = driver.now();
     driver.run_for(Span::from_secs(10));
     let until = driver.now();
--- a/tests/policy/overload.rs
+++ b/tests/policy/overload.rs
@@ -65,7 +65,7 @@
 /// Guards against work that begins in an evacuated domain, requests lost beside it,
 /// and upstreams that crash as they are taken back.
 fn evacuation(site: Site) {
-    let evacuation = trial::evacuation(&site, 3);
+    let evacuation = trial::evacuation(&site, true, 3);
     assert_eq!(evacuation.begun, 0, "{evacuation:?}");
     assert_eq!(evacuation.crashes, 0, "{evacuation:?}");
     assert!(evacuation.during >= 0.99, "{evacuation:?}");
@@ -77,7 +77,15 @@
     evacuation_at_kandy => (Site::kandy()),
 }
 
-/// Shows that the story above really crashes what gets too much.
+/// Shows that the story above sees nodes that did not hear of the order, and of its end.
+#[test]
+fn an_evacuation_that_nobody_hears_of_is_seen() {
+    let evacuation = trial::evacuation(&Site::tuul(), false, 3);
+    assert!(evacuation.begun > 1000, "{evacuation:?}");
+    assert!(evacuation.crashes > 0, "{evacuation:?}");
+}
+
+/// Shows that the story of an outage really crashes what gets too much.
 #[test]
 fn without_a_rate_for_cold_upstreams_an_outage_lasts() {
     let outage = trial::outage(&Site::tuul(), false, 3);
