Logs and metrics tell what an upstream names, and what begins at it

Now the head of every answer is read for the limit and for a leaving upstream, on both interfaces; a limit that is news is a line, at most one a second while only its value changes, and the metric started{reason} counts callers' requests, calls and probes apart. No decision changes: what is named is not kept yet.

tests/policy/signal.rs holds the lines to news; the adapter's test of names now knows the two headers.

--- a/src/connection/header.rs
+++ b/src/connection/header.rs
@@ -12,6 +12,10 @@
 use bytes::Bytes;
 
 use crate::{
+    backpressure::{
+        Limit,
+        Signal, //
+    },
     clock::Span,
     context::Context,
     frame::Head,
@@ -51,6 +55,11 @@
     /// On a health endpoint's answer: how much longer the upstream is cold, in
     /// milliseconds.
     pub warmup: Option<&'static str>,
+    /// On an answer: the requests a second that the upstream takes from all nodes
+    /// together, as a decimal number.
+    pub limit: &'static str,
+    /// On an answer: `1` from an upstream that leaves.
+    pub leaving: &'static str,
 }
 
 impl Names {
@@ -70,6 +79,8 @@
             rejected: None,
             seal: None,
             warmup: Some("x-bluebellswitch-warmup-ms"),
+            limit: "x-bluebellswitch-limit",
+            leaving: "x-bluebellswitch-leaving",
         }
     }
 
@@ -182,6 +193,22 @@
     text.trim().parse().ok().map(Span::from_ms)
 }
 
+/// What the upstream tells about itself.
+pub(crate) fn signal(original: &HeaderMap, names: &Names) -> Signal {
+    let text = |value: &HeaderValue| value.to_str().map(str::trim).map(str::to_owned).ok();
+    let limit = match original.get(names.limit) {
+        None => Limit::Absent,
+        Some(value) => text(value)
+            .and_then(|count| format!("{count}/s").parse().ok())
+            .map_or(Limit::Unreadable, Limit::Named),
+    };
+    let leaving = original.get(names.leaving).and_then(text);
+    Signal {
+        limit,
+        leaving: leaving.is_some_and(|text| text == "1"),
+    }
+}
+
 /// The caller's own id of its request.
 pub(crate) fn request(headers: &[(String, Bytes)], names: &Names) -> Option<Bytes> {
     let wanted = names.request?;
--- a/src/connection/upstream.rs
+++ b/src/connection/upstream.rs
@@ -53,6 +53,7 @@
     socket,
 };
 use crate::{
+    backpressure::Signal,
     clock::{
         Clock,
         Span,
@@ -104,6 +105,8 @@
     pub(crate) rejected: bool,
     /// How much longer the upstream says that it is cold.
     pub(crate) warmup: Option<Span>,
+    /// What the upstream tells about itself; nothing where another one answered.
+    pub(crate) signal: Option<Signal>,
     body: Option<Body>,
 }
 
@@ -213,6 +216,8 @@
             head,
             rejected,
             warmup: header::warmup(answer.headers(), &self.names),
+            signal: (answer.status != MISDIRECTED)
+                .then(|| header::signal(answer.headers(), &self.names)),
             body: None,
         };
         if empty {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -66,6 +66,7 @@
     request::{
         admission,
         allowance,
+        backpressure,
         balance,
         comeback,
         context,
--- a/src/process/carrier.rs
+++ b/src/process/carrier.rs
@@ -30,6 +30,7 @@
 
 use crate::{
     announce::Announcer,
+    backpressure::Limit,
     clock::{
         Clock,
         Span,
@@ -664,6 +665,13 @@
         ),
         Note::Gone(name) => log::info!(peer:% = name; "a member is gone"),
         Note::Warmup(status) => tell_warmup(*status),
+        Note::Limit(Limit::Named(rate)) => {
+            log::info!(per_second = rate.as_f64(); "the upstream names a limit")
+        }
+        Note::Limit(Limit::Absent) => log::info!("the upstream names no limit any more"),
+        Note::Limit(Limit::Unreadable) => {
+            log::warn!("the upstream names a limit that is no rate; the last one stays")
+        }
         Note::Evacuated { domain, order, age } => log::info!(
             evacuated:% = domain, in_force = order.in_force, revision = order.revision.0,
             age_ms = age.map_or(-1, |age| age.as_ms() as i64);
--- a/src/process/metric.rs
+++ b/src/process/metric.rs
@@ -10,6 +10,17 @@
     retry::Reason, //
 };
 
+/// What made a request that began at the upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Kind {
+    /// A caller.
+    Root,
+    /// A service, for a request that it works on.
+    Nested,
+    /// This node, to look at the upstream's health.
+    Probe,
+}
+
 /// One thing worth counting.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Counter {
@@ -27,8 +38,12 @@
     Retried(Reason),
     /// Retries that were wanted but not allowed, by reason.
     Unretried(Reason),
+    /// Requests that began at the upstream, by kind.
+    Started(Kind),
     /// Attempts that began at a cold upstream.
     ColdStarted,
+    /// Limits of the upstream that are no rate.
+    LimitUnreadable,
     /// Frames for requests that nobody waits for.
     Late,
     /// Nested calls whose token named no running attempt.
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -21,6 +21,10 @@
 
 use crate::{
     admission::seen::Levels,
+    backpressure::{
+        self,
+        Signal, //
+    },
     clock::{
         Span,
         Time, //
@@ -43,7 +47,8 @@
     },
     metric::{
         Counter,
-        Counts, //
+        Counts,
+        Kind, //
     },
     outcome::Report,
     policy::Policy,
@@ -85,6 +90,8 @@
     Gone(id::Instance),
     /// The upstream beside this node is believed to be cold or warm.
     Warmup(warmup::Status),
+    /// The upstream beside this node tells another limit than before.
+    Limit(backpressure::Limit),
     /// An operator has evacuated a failure domain, or taken it back.
     Evacuated {
         /// Which.
@@ -173,6 +180,10 @@
     Capacity(Option<u32>),
     /// The upstream told how much longer it is cold.
     Warmup(Span),
+    /// An answer of the upstream told this; its request began then.
+    Signal(Signal, Time),
+    /// This node sends a health probe to the upstream.
+    Probed,
     /// A datagram arrived.
     Datagram(SocketAddr, Message),
     /// The store answered the call with this number.
@@ -373,6 +384,10 @@
             Event::Health(well) => self.inbound(now, inbound::Event::Health(well), out),
             Event::Capacity(slots) => self.inbound(now, inbound::Event::Capacity(slots), out),
             Event::Warmup(left) => self.inbound(now, inbound::Event::Warmup(left), out),
+            Event::Signal(signal, begun) => {
+                self.inbound(now, inbound::Event::Signal { signal, begun }, out);
+            }
+            Event::Probed => self.counts.add(Counter::Started(Kind::Probe)),
             Event::Datagram(from, message) => self.message(now, Some(from), message, out),
             Event::Store(number, answer) => match self.asked.remove(&number) {
                 Some(Asker::Fleet) => self.fleet_store(now, number, answer, out),
@@ -691,6 +706,7 @@
             Action::Frame(peer, Frame::Fate { request, fate })
         }
         inbound::Action::Warmup(status) => Action::Note(Note::Warmup(status)),
+        inbound::Action::Limit(limit) => Action::Note(Note::Limit(limit)),
         inbound::Action::Orphan(_) => return None,
     })
 }
--- a/src/process/probe.rs
+++ b/src/process/probe.rs
@@ -9,7 +9,10 @@
 
 use crate::{
     carrier::Carrier,
-    clock::Span,
+    clock::{
+        Clock,
+        Span, //
+    },
     connection::body::Inlet,
     frame::Head,
     inbound::End,
@@ -79,6 +82,8 @@
     };
     let inlet = Inlet::new(|_| {});
     inlet.end(xxhash_rust::xxh3::xxh3_64(&[]));
+    let begun = Clock.now();
+    carrier.on(Event::Probed);
     let exchange = async {
         let mut answer = carrier.upstream.send(&head, inlet).await?;
         while carrier
@@ -95,6 +100,9 @@
         Ok(Err(End::Refused)) => return (Finding::Refused, None),
         _ => return (Finding::Ill, None),
     };
+    if let Some(signal) = answer.signal {
+        carrier.on(Event::Signal(signal, begun));
+    }
     let finding = match answer.head.status {
         200..=299 => Finding::Well,
         _ => Finding::Ill,
--- a/src/process/relay.rs
+++ b/src/process/relay.rs
@@ -260,11 +260,15 @@
 
     /// Runs one attempt at the upstream, and relays its answer.
     async fn run(&self, exchange: Exchange) -> End {
+        let begun = Clock.now();
         let sent = self.upstream.send(&exchange.head, exchange.inlet).await;
         let mut answer = match sent {
             Ok(answer) => answer,
             Err(end) => return end,
         };
+        if let Some(signal) = answer.signal {
+            self.on(Event::Signal(signal, begun));
+        }
         if answer.rejected {
             return self.rejected(&mut answer).await;
         }
--- a/src/request/inbound.rs
+++ b/src/request/inbound.rs
@@ -36,6 +36,10 @@
         seen::Levels, //
     },
     allowance::Purses,
+    backpressure::{
+        self,
+        Signal, //
+    },
     clock::{
         Span,
         Time, //
@@ -76,6 +80,9 @@
 /// service answers within milliseconds once its call has failed.
 const BLAMED: Span = Span::from_ms(60);
 
+/// Time between two notes of a limit that only changes its value.
+const LIMIT_NOTE_INTERVAL: Span = Span::from_secs(1);
+
 /// How the upstream's part of an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
@@ -134,6 +141,13 @@
     Capacity(Option<u32>),
     /// The upstream told how much longer it is cold.
     Warmup(Span),
+    /// An answer of the upstream told this.
+    Signal {
+        /// What it told.
+        signal: Signal,
+        /// When the answered request began.
+        begun: Time,
+    },
     /// The node was told to stop.
     Drain,
     /// Time has passed.
@@ -164,6 +178,8 @@
     Orphan(id::Request),
     /// The upstream is believed to be cold or warm from now on.
     Warmup(Status),
+    /// The upstream tells another limit than before.
+    Limit(backpressure::Limit),
 }
 
 /// What the proxy consults.
@@ -204,6 +220,8 @@
     makers: Makers,
     /// When a call of the service failed last.
     failed: Option<Time>,
+    /// The limit that was told last, and when that was noted.
+    named: (backpressure::Limit, Time),
 }
 
 impl Proxy {
@@ -228,6 +246,7 @@
             memory: Memory::default(),
             makers: Makers::default(),
             failed: None,
+            named: (backpressure::Limit::Absent, Time::ZERO),
         }
     }
 
@@ -380,6 +399,7 @@
             Event::Warmup(left) => {
                 self.believe(out, |meter| meter.report(now, left));
             }
+            Event::Signal { signal, .. } => self.signalled(now, signal, world, out),
             Event::Drain => {
                 self.site.draining = true;
                 self.flush(now, Code::Leaving, world, out);
@@ -389,6 +409,27 @@
         self.fill(now, world, out);
     }
 
+    /// Notes a limit that is news. One that changes all the time is noted once a
+    /// second.
+    fn signalled(
+        &mut self,
+        now: Time,
+        signal: Signal,
+        world: &mut World<'_>,
+        out: &mut Vec<Action>,
+    ) {
+        if signal.limit == backpressure::Limit::Unreadable {
+            world.counts.add(Counter::LimitUnreadable);
+        }
+        let (before, noted) = self.named;
+        let same_kind = std::mem::discriminant(&before) == std::mem::discriminant(&signal.limit);
+        let is_due = now.since(noted) >= LIMIT_NOTE_INTERVAL;
+        if signal.limit != before && (!same_kind || is_due) {
+            self.named = (signal.limit, now);
+            out.push(Action::Limit(signal.limit));
+        }
+    }
+
     fn count_slots(&mut self) {
         let slots = self.site.slots();
         self.limit.configure(slots);
--- a/src/request/inbound/running.rs
+++ b/src/request/inbound/running.rs
@@ -19,7 +19,10 @@
     context::Context,
     id,
     limit::knee,
-    metric::Counter,
+    metric::{
+        Counter,
+        Kind, //
+    },
     outcome::Report,
     policy::Admission,
     record::Claim,
@@ -122,6 +125,11 @@
         let weight = weight.map_or(1, |team| team.weight.0);
         self.queue.count(&waiting.context.team, weight);
         self.site.started(now);
+        let kind = match waiting.context.depth {
+            0 => Kind::Root,
+            _ => Kind::Nested,
+        };
+        world.counts.add(Counter::Started(kind));
         if self.meter.is_cold() {
             world.counts.add(Counter::ColdStarted);
         }
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 pub mod allowance;
+pub mod backpressure;
 pub mod balance;
 pub mod comeback;
 pub mod context;
--- a/tests/platform/names.rs
+++ b/tests/platform/names.rs
@@ -30,7 +30,7 @@
 }
 
 /// Words that only the adapter may know.
-const WORDS: [&str; 12] = [
+const WORDS: [&str; 16] = [
     "Instances.Heartbeat",
     "Instances.Deregister",
     "kv-txn",
@@ -43,6 +43,10 @@
     "warmup_left",
     "op/config",
     "traffic_split",
+    "Server-Limit",
+    "server-limit",
+    "Server-Leaving",
+    "server-leaving",
 ];
 
 #[test]
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -25,5 +25,7 @@
 mod overload;
 #[path = "policy/rejection.rs"]
 mod rejection;
+#[path = "policy/signal.rs"]
+mod signal;
 #[path = "policy/warmup.rs"]
 mod warmup;
--- a/tests/policy/inbound.rs
+++ b/tests/policy/inbound.rs
@@ -41,11 +41,11 @@
 
 const LIFE: id::Incarnation = id::Incarnation(7);
 
-struct Bench {
-    proxy: Proxy,
-    snapshot: Snapshot,
+pub struct Bench {
+    pub proxy: Proxy,
+    pub snapshot: Snapshot,
     levels: Levels,
-    now: Time,
+    pub now: Time,
     next: u64,
 }
 
@@ -79,7 +79,7 @@
 }
 
 impl Bench {
-    fn new(pool: &str) -> Self {
+    pub fn new(pool: &str) -> Self {
         let mut bench = Self {
             proxy: Proxy::new(LIFE, "p".parse().expect("a name"), true),
             snapshot: snapshot(pool),
@@ -91,7 +91,7 @@
         bench
     }
 
-    fn on(&mut self, event: Event) -> Vec<Action> {
+    pub fn on(&mut self, event: Event) -> Vec<Action> {
         let mut world = World {
             snapshot: &self.snapshot,
             domain: &"here".parse().expect("a name"),
@@ -105,7 +105,7 @@
         out
     }
 
-    fn attempt(&mut self, change: impl Fn(&mut Context)) -> (id::Request, Vec<Action>) {
+    pub fn attempt(&mut self, change: impl Fn(&mut Context)) -> (id::Request, Vec<Action>) {
         self.next += 1;
         let request = id::Request {
             incarnation: id::Incarnation(1),
--- a/tests/policy/orders.rs
+++ b/tests/policy/orders.rs
@@ -335,7 +335,9 @@
                     let event = ingress::Event::Fate(from.clone(), request, fate);
                     self.wires.push(Wire::ToRouter(event));
                 }
-                inbound::Action::Orphan(_) | inbound::Action::Warmup(_) => {}
+                inbound::Action::Orphan(_)
+                | inbound::Action::Warmup(_)
+                | inbound::Action::Limit(_) => {}
             }
         }
     }
