Test, failing: an upstream gets more than the limit that it names

From 3 s on no window of 4 s may bring more than one and a half times the limit and five requests, which is the users' own bound.

The stand-in upstream of the driver names limits, and counts what arrives.

--- a/src/standin/driver.rs
+++ b/src/standin/driver.rs
@@ -6,6 +6,7 @@
 //! written to a [`Ledger`].
 
 mod cold;
+mod need;
 mod net;
 mod work;
 
@@ -160,6 +161,7 @@
     /// Whether it refuses connections.
     pub refusing: bool,
     cold: cold::Cold,
+    need: need::Need,
 }
 
 struct Node {
@@ -302,6 +304,7 @@
             failing: false,
             refusing: false,
             cold: cold::Cold::default(),
+            need: need::Need::default(),
         };
         self.nodes.push(Node {
             identity: Identity { peer, seed: 0 },
--- a/src/standin/driver/work.rs
+++ b/src/standin/driver/work.rs
@@ -211,6 +211,7 @@
         };
         self.ledger.begun_at(self.now, node);
         self.ledger.started(self.now, request, &team);
+        self.arrived_upstream(node, request);
         self.nodes[node].tokens.insert(request, token);
         self.nodes[node].upstream.waiting.push_back((request, job));
         match self.overwhelms(node) {
@@ -293,6 +294,7 @@
     }
 
     pub(super) fn answer(&mut self, node: usize, request: id::Request) {
+        self.signal(node, request);
         let status = self.release(node, request).unwrap_or(0);
         let sender = self.nodes[node].senders.remove(&request);
         if let (Some(core), Some(peer)) = (&mut self.nodes[node].core, sender) {
--- a/tests/regression.rs
+++ b/tests/regression.rs
@@ -1,4 +1,9 @@
 //! Faults that were found, one file each.
 
+#[macro_use]
+mod support;
+
 #[path = "regression/frozen_owner.rs"]
 mod frozen_owner;
+#[path = "regression/named_limit.rs"]
+mod named_limit;
