Test, failing: an upstream that said that it leaves gets requests

The second rule that the incident brings: an upstream whose answers say that it leaves, without an announcement of it, gets nothing more from 2 s after. The bound is none, from the users' rule; a request from a node that passed on such an answer breaks it.

--- a/tests/regression.rs
+++ b/tests/regression.rs
@@ -5,5 +5,7 @@
 
 #[path = "regression/frozen_owner.rs"]
 mod frozen_owner;
+#[path = "regression/leaving_upstream.rs"]
+mod leaving_upstream;
 #[path = "regression/named_limit.rs"]
 mod named_limit;
