Limit: an upstream gets no more than it names in its answers

Cause: the limit was read by nobody, and nothing bounded what all senders together begin at an upstream but its slots. Evidence: arrivals did not change as the limit was named, and in the test first attempts alone exceed it.

The node beside the upstream is the only way to it, so a token bucket there counts all that begins: first tries, retries, calls, health probes. A lower limit counts at once, a higher one or none only from an answer that was certainly made later. What a node knew dies with it, so senders that have heard of the limit tell its next life ahead of their attempts; a hint names the life of the upstream. Probes were not counted before, beside cold upstreams neither, though the meter's page said so; now they are.

--- a/src/code.rs
+++ b/src/code.rs
@@ -124,6 +124,8 @@
     UpstreamCold = 2018, 503, NotRun, 1, "the upstream is cold and takes no more requests now";
     /// The upstream's failure domain is evacuated.
     Evacuated = 2019, 503, NotRun, 1, "the failure domain of the upstream is evacuated";
+    /// The upstream names a limit and takes no more requests in time.
+    UpstreamLimited = 2020, 503, NotRun, 1, "the upstream takes no more requests now";
     /// The link broke after the request was sent.
     LinkLost = 3001, 502, Unknown, 0, "the connection to the instance broke";
     /// The deadline passed while it ran.
--- a/src/command/status.rs
+++ b/src/command/status.rs
@@ -100,6 +100,8 @@
         "evacuated"
     } else if status["cold"] == true {
         "cold"
+    } else if status["named_limit"].is_number() {
+        "limited"
     } else {
         "running"
     }
--- a/src/connection/frame.rs
+++ b/src/connection/frame.rs
@@ -12,6 +12,7 @@
 };
 
 use crate::{
+    backpressure::Hint,
     clock::Span,
     context::Context,
     error::{
@@ -100,6 +101,8 @@
         /// The HTTP head.
         head: Head,
     },
+    /// What the upstream beside the receiver told through a former life of it.
+    Hint(Hint),
     /// A part of a body.
     Chunk {
         /// The attempt's number.
--- a/src/id.rs
+++ b/src/id.rs
@@ -113,6 +113,8 @@
 numbers! {
     /// One life of a node. A restart gets a higher one.
     Incarnation(u64), "{:016x}";
+    /// One life of an upstream, as the node beside it tells them apart.
+    Upstream(u64), "{:016x}";
     /// The place of a request in its node's life.
     Sequence(u64), "{}";
     /// A request as the first caller sees it, with all that it causes.
--- a/src/process/announce.rs
+++ b/src/process/announce.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 
 use serde::Deserialize;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
     clock::{
@@ -124,6 +125,13 @@
     heard: Time,
 }
 
+impl Upstream {
+    /// What tells this life of it from all others.
+    pub fn id(&self) -> id::Upstream {
+        id::Upstream(xxh3_64_with_seed(self.name.as_bytes(), self.life))
+    }
+}
+
 impl Announcer {
     /// An announcer for the service at this address.
     pub fn new(pool: id::Pool, address: SocketAddr, heartbeat: Span) -> Self {
--- a/src/process/beside.rs
+++ b/src/process/beside.rs
@@ -13,8 +13,9 @@
 
 use crate::{
     announce::{
-        Announcement, //
-        Verdict,
+        Announcement,
+        Upstream,
+        Verdict, //
     },
     carrier::Carrier,
     clock::{
@@ -89,6 +90,7 @@
         let ready = announcer.is_ready();
         let slots = announcer.upstream().and_then(|upstream| upstream.slots);
         let warmup = announcer.upstream().map(|upstream| upstream.warmup);
+        let life = announcer.upstream().map(Upstream::id);
         let name = announcer.upstream().map(|upstream| upstream.name.clone());
         drop(announcer);
         if verdict != Verdict::Same {
@@ -101,6 +103,9 @@
         if matches!(verdict, Verdict::Changed | Verdict::Same) {
             self.refusals.set(0);
             *self.target.borrow_mut() = name;
+            if let Some(life) = life {
+                self.on(Event::Upstream(life));
+            }
             self.on(Event::Capacity(slots));
             self.believe(ready);
             if let Some(left) = warmup {
--- a/src/process/carrier.rs
+++ b/src/process/carrier.rs
@@ -312,6 +312,10 @@
     /// The service says that it takes requests, or that it leaves.
     pub(crate) fn announce(&self, ready: bool) {
         self.left.set(!ready);
+        if ready {
+            let life = self.me.incarnation.0.wrapping_add(self.next_number());
+            self.on(Event::Upstream(id::Upstream(life)));
+        }
         self.on(Event::Ready(ready));
     }
 
@@ -699,9 +703,11 @@
 /// dialed itself.
 pub(crate) fn is_for_inbound(frame: &Frame) -> bool {
     match frame {
-        Frame::Attempt { .. } | Frame::Cancel { .. } | Frame::Revoke { .. } | Frame::Control(_) => {
-            true
-        }
+        Frame::Attempt { .. }
+        | Frame::Hint(_)
+        | Frame::Cancel { .. }
+        | Frame::Revoke { .. }
+        | Frame::Control(_) => true,
         Frame::Chunk { side, .. } | Frame::End { side, .. } | Frame::Cut { side, .. } => {
             *side == Side::Request
         }
--- a/src/process/event.rs
+++ b/src/process/event.rs
@@ -20,7 +20,8 @@
     context::Context,
     id,
     inbound::End,
-    outcome::Report, //
+    outcome::Report,
+    unit::Rate, //
 };
 
 /// Letters of a caller's id that lines show.
@@ -137,6 +138,15 @@
     pub(crate) level: f64,
     /// Requests are metered as the upstream is cold, or may be.
     pub(crate) cold: bool,
+    /// The limit that the upstream names.
+    pub(crate) named: Option<Rate>,
+}
+
+impl Load {
+    /// The named limit for a line; minus one where there is none.
+    fn named(&self) -> f64 {
+        self.named.map_or(-1.0, Rate::as_f64)
+    }
 }
 
 /// How many lines may be written.
@@ -302,7 +312,7 @@
                     importance:% = context.importance, nested = context.depth > 0,
                     code = *code as u16, reason = code.name(), running = load.running,
                     limit = load.limit, waiting = load.waiting, shed_level = load.level,
-                    cold = load.cold;
+                    cold = load.cold, named_limit = load.named();
                     "turned away"
                 );
             }
@@ -318,7 +328,8 @@
                     id = id, request:% = attempt, from:% = peer, route:% = route,
                     importance:% = context.importance, nested = context.depth > 0,
                     waited_ms = waited.as_ms(), running = load.running, limit = load.limit,
-                    waiting = load.waiting, shed_level = load.level, cold = load.cold;
+                    waiting = load.waiting, shed_level = load.level, cold = load.cold,
+                    named_limit = load.named();
                     "started"
                 );
             }
--- a/src/process/export.rs
+++ b/src/process/export.rs
@@ -46,6 +46,7 @@
         Counts, //
     },
     node::Event,
+    unit::Rate, //
 };
 
 /// How long the domains' watchers may take to answer.
@@ -64,6 +65,7 @@
     _provider: SdkMeterProvider,
     meter: Meter,
     load: Gauge<u64>,
+    limit: Gauge<f64>,
     counters: RefCell<HashMap<String, Instrument<u64>>>,
     shown: RefCell<HashMap<Counter, u64>>,
 }
@@ -80,12 +82,14 @@
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("bluebellswitch");
         let load = meter.u64_gauge(format!("{PREFIX}load")).build();
+        let limit = meter.f64_gauge(format!("{PREFIX}named_limit")).build();
         let operator = Self {
             carrier,
             registry,
             _provider: provider,
             meter,
             load,
+            limit,
             counters: RefCell::default(),
             shown: RefCell::default(),
         };
@@ -130,6 +134,9 @@
             let before = shown.insert(counter, count).unwrap_or(0);
             self.add(counter, count.saturating_sub(before));
         }
+        let named = core.load(Clock.now()).named;
+        self.limit
+            .record(named.map_or(f64::INFINITY, Rate::as_f64), &[]);
         let (calls, sent, received) = self.carrier.load();
         let (dialed, accepted) = self.carrier.links.len();
         for (kind, count) in [
@@ -164,7 +171,7 @@
         let now = Clock.now();
         let snapshot = carrier.core().snapshot().clone();
         let evacuated: Vec<_> = snapshot.evacuated().collect();
-        let cold = carrier.core().load(now).cold;
+        let load = carrier.core().load(now);
         let mut core = carrier.core_mut();
         let (age, standing) = (core.age(now), format!("{:?}", core.standing(now)));
         let fault = core.fault().map(|fault| fault.reason.clone());
@@ -202,7 +209,8 @@
             "links_accepted": accepted,
             "report": report,
             "evacuated": evacuated,
-            "cold": cold,
+            "cold": load.cold,
+            "named_limit": load.named.map(Rate::as_f64),
             "members": members,
         });
         json_reply(StatusCode::OK, &status)
--- a/src/process/metric.rs
+++ b/src/process/metric.rs
@@ -42,6 +42,8 @@
     Started(Kind),
     /// Attempts that began at a cold upstream.
     ColdStarted,
+    /// Attempts that began at an upstream that names a limit.
+    LimitedStarted,
     /// Limits of the upstream that are no rate.
     LimitUnreadable,
     /// Frames for requests that nobody waits for.
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -182,8 +182,8 @@
     Warmup(Span),
     /// An answer of the upstream told this; its request began then.
     Signal(Signal, Time),
-    /// This node sends a health probe to the upstream.
-    Probed,
+    /// This life of the upstream is there.
+    Upstream(id::Upstream),
     /// A datagram arrived.
     Datagram(SocketAddr, Message),
     /// The store answered the call with this number.
@@ -337,6 +337,16 @@
         self.proxy.answer(now, request, &self.levels, self.policy)
     }
 
+    /// Takes a health probe out of what the upstream may get. Returns whether it
+    /// may be sent now.
+    pub fn probe(&mut self, now: Time) -> bool {
+        let is_allowed = self.proxy.probe(now);
+        if is_allowed {
+            self.counts.add(Counter::Started(Kind::Probe));
+        }
+        is_allowed
+    }
+
     /// Sets which mechanisms are in force.
     pub fn set_policy(&mut self, policy: Policy) {
         self.policy = policy;
@@ -387,7 +397,9 @@
             Event::Signal(signal, begun) => {
                 self.inbound(now, inbound::Event::Signal { signal, begun }, out);
             }
-            Event::Probed => self.counts.add(Counter::Started(Kind::Probe)),
+            Event::Upstream(upstream) => {
+                self.inbound(now, inbound::Event::Upstream(upstream), out);
+            }
             Event::Datagram(from, message) => self.message(now, Some(from), message, out),
             Event::Store(number, answer) => match self.asked.remove(&number) {
                 Some(Asker::Fleet) => self.fleet_store(now, number, answer, out),
@@ -501,6 +513,7 @@
                 };
                 self.inbound(now, event, out);
             }
+            Frame::Hint(hint) => self.inbound(now, inbound::Event::Hint(hint), out),
             Frame::Cancel { request } if self.record_runs(request) => {}
             Frame::Cancel { request } => {
                 self.inbound(now, inbound::Event::Cancel(peer, request), out);
@@ -657,6 +670,7 @@
                 context,
                 claim,
             },
+            ingress::Action::Hint(peer, hint) => Self::Frame(peer, Frame::Hint(hint)),
             ingress::Action::Deliver(call, request) => Self::Deliver(call, request),
             ingress::Action::Refuse(call, code, wait) => Self::Refuse(call, code, wait),
             ingress::Action::Cancel(peer, request) => Self::Frame(peer, Frame::Cancel { request }),
--- a/src/process/probe.rs
+++ b/src/process/probe.rs
@@ -43,6 +43,9 @@
     loop {
         tokio::time::sleep(PERIOD.to_std()).await;
         let Some(path) = path(&carrier) else { continue };
+        if !carrier.core_mut().probe(Clock.now()) {
+            continue;
+        }
         let (finding, warmup) = probe(&carrier, path).await;
         if let Some(left) = warmup {
             carrier.on(Event::Warmup(left));
@@ -83,7 +86,6 @@
     let inlet = Inlet::new(|_| {});
     inlet.end(xxhash_rust::xxh3::xxh3_64(&[]));
     let begun = Clock.now();
-    carrier.on(Event::Probed);
     let exchange = async {
         let mut answer = carrier.upstream.send(&head, inlet).await?;
         while carrier
--- a/src/request/balance.rs
+++ b/src/request/balance.rs
@@ -67,6 +67,9 @@
 const SLOWNESS_WEIGHT: f64 = 0.05;
 /// Bound on how much slower or faster an instance may seem.
 const MAX_SLOWNESS: f64 = 4.0;
+/// How long an instance whose upstream names a limit may go without a request. Others
+/// look emptier all the time, and only an answer tells that the limit is over.
+const LIMITED_RETRY_INTERVAL: Span = Span::from_secs(2);
 /// Slots of an instance that has reported none.
 const DEFAULT_SLOTS: f64 = 4.0;
 
@@ -75,6 +78,8 @@
 struct View {
     life: Incarnation,
     outstanding: u32,
+    /// When the last attempt was sent to it.
+    sent: Time,
     told: Option<LoadReport>,
     /// Its time of service, relative to that of all instances.
     slowness: f64,
@@ -93,6 +98,8 @@
     outstanding: u32,
     level: u16,
     leaving: bool,
+    /// Its upstream names a limit.
+    limited: bool,
 }
 
 /// How an attempt at an instance ended, as far as it tells of the instance.
@@ -152,9 +159,11 @@
         if !tried.is_empty() && policy.domain && fresh.iter().any(elsewhere) {
             fresh.retain(|peer| elsewhere(peer));
         }
-        let chosen = match fresh.is_empty() {
-            true => self.choose(now, &usable, policy, rng)?,
-            false => self.choose(now, &fresh, policy, rng)?,
+        let due = fresh.iter().find(|peer| self.is_due(now, peer)).copied();
+        let chosen = match (due, fresh.is_empty()) {
+            (Some(due), _) if tried.is_empty() => due,
+            (_, true) => self.choose(now, &usable, policy, rng)?,
+            (_, false) => self.choose(now, &fresh, policy, rng)?,
         };
         let life = self.life(chosen);
         Some((chosen.instance.clone(), life))
@@ -201,8 +210,10 @@
     }
 
     /// An attempt was sent.
-    pub fn sent(&mut self, peer: &Instance) {
-        self.view(peer).outstanding += 1;
+    pub fn sent(&mut self, now: Time, peer: &Instance) {
+        let view = self.view(peer);
+        view.outstanding += 1;
+        view.sent = now;
     }
 
     /// An inbound proxy told its state.
@@ -221,6 +232,7 @@
             outstanding: view.outstanding,
             level: report.level,
             leaving: report.leaving,
+            limited: report.hint.is_some_and(|hint| hint.limit.is_some()),
         });
     }
 
@@ -300,6 +312,16 @@
         }
     }
 
+    /// Whether an instance that is limited is to be tried again, to hear whether it
+    /// still is.
+    fn is_due(&self, now: Time, peer: &Peer) -> bool {
+        let view = self.views.get(&peer.instance);
+        view.is_some_and(|view| {
+            let limited = view.told.is_some_and(|told| told.limited);
+            limited && view.outstanding == 0 && now.since(view.sent) >= LIMITED_RETRY_INTERVAL
+        })
+    }
+
     /// Whether an instance told of late that it leaves.
     ///
     /// Guards against a drain that is called off: the members say that the
@@ -388,6 +410,7 @@
         Self {
             life: Incarnation(0),
             outstanding: 0,
+            sent: Time::ZERO,
             told: None,
             slowness: 1.0,
             success: 1.0,
--- a/src/request/comeback.rs
+++ b/src/request/comeback.rs
@@ -75,6 +75,7 @@
             | Code::UpstreamRejected
             | Code::UpstreamRefused
             | Code::UpstreamCold
+            | Code::UpstreamLimited
             | Code::Revoked
             | Code::LinkAbsent
     )
--- a/src/request/inbound.rs
+++ b/src/request/inbound.rs
@@ -7,6 +7,7 @@
 
 mod caller;
 mod memory;
+mod pace;
 mod running;
 mod site;
 mod waiting;
@@ -25,6 +26,7 @@
         Known,
         Memory, //
     },
+    pace::Pace,
     running::Running,
     site::Site,
     waiting::Waiting, //
@@ -38,6 +40,7 @@
     allowance::Purses,
     backpressure::{
         self,
+        Hint,
         Signal, //
     },
     clock::{
@@ -148,6 +151,10 @@
         /// When the answered request began.
         begun: Time,
     },
+    /// This life of the upstream is there.
+    Upstream(id::Upstream),
+    /// Another node tells what the upstream told through a former life of this one.
+    Hint(Hint),
     /// The node was told to stop.
     Drain,
     /// Time has passed.
@@ -212,7 +219,9 @@
     limit: Limit,
     knee: knee::Search,
     bound: warmup::Bound,
-    meter: Meter,
+    pace: Pace,
+    /// The life of the upstream, zero while it is not told apart, and since when.
+    upstream: (id::Upstream, Time),
     /// When the last event came.
     seen: Time,
     controller: Controller,
@@ -240,7 +249,8 @@
             limit: Limit::default(),
             knee: knee::Search::default(),
             bound: warmup::Bound::default(),
-            meter: Meter::default(),
+            pace: Pace::default(),
+            upstream: (id::Upstream::default(), Time::ZERO),
             seen: Time::ZERO,
             controller: Controller::default(),
             memory: Memory::default(),
@@ -268,7 +278,8 @@
             limit: self.slots(now),
             waiting: self.waiting.len(),
             level: self.controller.height(),
-            cold: self.meter.is_cold(),
+            cold: self.pace.meter.is_cold(),
+            named: self.pace.throttle.limit(),
         }
     }
 
@@ -297,12 +308,12 @@
         } else {
             Time::NEVER
         };
-        let cold = match self.queue.is_empty() {
+        let pace = match self.queue.is_empty() {
             true => Time::NEVER,
-            false => self.meter.due(),
+            false => self.pace.due(),
         };
         let queue = queue.unwrap_or(Time::NEVER);
-        deadline.min(queue).min(level).min(cold)
+        deadline.min(queue).min(level).min(pace)
     }
 
     /// The purses that nested calls borrow from.
@@ -399,7 +410,9 @@
             Event::Warmup(left) => {
                 self.believe(out, |meter| meter.report(now, left));
             }
-            Event::Signal { signal, .. } => self.signalled(now, signal, world, out),
+            Event::Signal { signal, begun } => self.signalled(now, begun, signal, world, out),
+            Event::Upstream(upstream) => self.replaced(now, upstream),
+            Event::Hint(hint) => self.hinted(now, hint, out),
             Event::Drain => {
                 self.site.draining = true;
                 self.flush(now, Code::Leaving, world, out);
@@ -409,24 +422,79 @@
         self.fill(now, world, out);
     }
 
-    /// Notes a limit that is news. One that changes all the time is noted once a
-    /// second.
+    /// Another life of the upstream knows nothing of what the former one told.
+    fn replaced(&mut self, now: Time, upstream: id::Upstream) {
+        if self.upstream.0 != upstream {
+            self.upstream = (upstream, now);
+            self.pace.throttle.reset();
+        }
+    }
+
+    fn hinted(&mut self, now: Time, hint: Hint, out: &mut Vec<Action>) {
+        let is_known = hint.upstream != id::Upstream::default();
+        if is_known && hint.upstream == self.upstream.0 {
+            self.pace.throttle.hint(now, hint.limit);
+            self.note_limit(now, self.limit(), out);
+        }
+    }
+
+    /// The limit in force.
+    fn limit(&self) -> backpressure::Limit {
+        let limit = self.pace.throttle.limit();
+        limit.map_or(backpressure::Limit::Absent, backpressure::Limit::Named)
+    }
+
+    /// What other nodes keep of the upstream.
+    fn hint(&self) -> Option<Hint> {
+        let limit = self.pace.throttle.limit();
+        limit.is_some().then_some(Hint {
+            upstream: self.upstream.0,
+            limit,
+        })
+    }
+
+    /// Takes a health probe out of what the upstream may get. Returns whether there
+    /// is room for it.
+    pub fn probe(&mut self, now: Time) -> bool {
+        let is_allowed = self.pace.allows(now);
+        if is_allowed {
+            self.pace.take(now);
+        }
+        is_allowed
+    }
+
     fn signalled(
         &mut self,
         now: Time,
+        begun: Time,
         signal: Signal,
         world: &mut World<'_>,
         out: &mut Vec<Action>,
     ) {
+        // A former life of the upstream may have answered.
+        if begun < self.upstream.1 {
+            return;
+        }
         if signal.limit == backpressure::Limit::Unreadable {
             world.counts.add(Counter::LimitUnreadable);
         }
+        self.pace.throttle.hear(now, begun, signal.limit);
+        let news = match signal.limit {
+            backpressure::Limit::Unreadable => signal.limit,
+            _ => self.limit(),
+        };
+        self.note_limit(now, news, out);
+    }
+
+    /// Notes a limit that is news. One that changes all the time is noted once a
+    /// second.
+    fn note_limit(&mut self, now: Time, limit: backpressure::Limit, out: &mut Vec<Action>) {
         let (before, noted) = self.named;
-        let same_kind = std::mem::discriminant(&before) == std::mem::discriminant(&signal.limit);
+        let same_kind = std::mem::discriminant(&before) == std::mem::discriminant(&limit);
         let is_due = now.since(noted) >= LIMIT_NOTE_INTERVAL;
-        if signal.limit != before && (!same_kind || is_due) {
-            self.named = (signal.limit, now);
-            out.push(Action::Limit(signal.limit));
+        if limit != before && (!same_kind || is_due) {
+            self.named = (limit, now);
+            out.push(Action::Limit(limit));
         }
     }
 
@@ -449,7 +517,7 @@
     fn prepare(&mut self, now: Time, world: &mut World<'_>, out: &mut Vec<Action>) {
         self.site.configure(world.snapshot, self.bound);
         self.count_slots();
-        self.meter.configure(self.site.cold);
+        self.pace.meter.configure(self.site.cold);
         if self.seen != Time::ZERO && now.since(self.seen) > SUSPENDED {
             self.doubt(now, Doubt::Suspended, out);
         }
@@ -478,9 +546,9 @@
     }
 
     fn believe(&mut self, out: &mut Vec<Action>, change: impl FnOnce(&mut Meter)) {
-        let before = self.meter.status();
-        change(&mut self.meter);
-        let after = self.meter.status();
+        let before = self.pace.meter.status();
+        change(&mut self.pace.meter);
+        let after = self.pace.meter.status();
         let is_new = std::mem::discriminant(&before) != std::mem::discriminant(&after);
         if is_new && self.site.cold.is_some() {
             out.push(Action::Warmup(after));
@@ -490,7 +558,8 @@
     fn state(&self, now: Time) -> Report {
         Report {
             load: self.len() as u32,
-            slots: match self.meter.room(now) {
+            hint: self.hint(),
+            slots: match self.pace.room(now) {
                 Some(room) => room.max(1),
                 None => self.site.shown(self.slots(now)),
             },
@@ -642,7 +711,7 @@
         }
         self.expire(now, world, out);
         self.limit.tick(now);
-        let is_full = !self.queue.is_empty() && !self.meter.is_cold();
+        let is_full = !self.queue.is_empty() && !self.pace.is_bound();
         self.knee.tick(now, is_full, self.site.usual());
         self.control(now, world);
         self.memory.tick(now);
--- a/src/request/inbound/running.rs
+++ b/src/request/inbound/running.rs
@@ -101,7 +101,7 @@
             true => 0,
             false => most,
         };
-        while self.running.len() < most && self.meter.allows(now) {
+        while self.running.len() < most && self.pace.allows(now) {
             let Some((request, waiting)) = self.next(world.policy) else {
                 return;
             };
@@ -130,10 +130,13 @@
             _ => Kind::Nested,
         };
         world.counts.add(Counter::Started(kind));
-        if self.meter.is_cold() {
+        if self.pace.meter.is_cold() {
             world.counts.add(Counter::ColdStarted);
         }
-        self.meter.take(now);
+        if self.pace.throttle.limit().is_some() {
+            world.counts.add(Counter::LimitedStarted);
+        }
+        self.pace.take(now);
         self.tokens.insert(token, request);
         let purse = Purse::new(waiting.context.allowance);
         self.purses.insert(request, purse);
--- a/src/request/inbound/waiting.rs
+++ b/src/request/inbound/waiting.rs
@@ -104,7 +104,7 @@
         out: &mut Vec<Action>,
     ) {
         if world.policy.admission == Admission::Level {
-            // The gap of a cold upstream does not count: other instances may be warm.
+            // The pace does not count: other instances may take more.
             let gap = self.site.gap(self.slots(now));
             let mut patience = self.site.target(gap).scale(MAX_WAIT_TARGETS);
             if waiting.context.depth > 0 && world.policy.attribution {
@@ -166,9 +166,8 @@
         self.controller
             .passed(context.importance, team, item.weight);
         let ahead = self.queue.ahead(item, order(world.policy));
-        let cold = self.meter.is_cold();
-        if cold && self.meter.wait(now, ahead) >= now.until(waiting.expires) {
-            return Err(Code::UpstreamCold);
+        if let Some(code) = self.pace.refusal(now, ahead, now.until(waiting.expires)) {
+            return Err(code);
         }
         let wait = self.wait(now, ahead);
         let work = self.site.typical(now, &waiting.route);
@@ -288,24 +287,22 @@
         self.site.target(self.gap(now))
     }
 
-    /// The time in ms between two starts, by slots or by the rate of a cold
-    /// upstream.
+    /// The time in ms between two starts, by slots or by the pace of the upstream.
     fn gap(&self, now: Time) -> f64 {
         let slots = self.site.gap(self.slots(now));
-        slots.max(self.meter.gap())
+        slots.max(self.pace.gap())
     }
 
     /// How long a request waits that this many are ahead of.
     fn wait(&self, now: Time, ahead: usize) -> Span {
         let slots = ahead as f64 * self.site.gap(self.slots(now));
-        let cold = self.meter.wait(now, ahead);
-        Span::from_ms(slots as u64).max(cold)
+        Span::from_ms(slots as u64).max(self.pace.wait(now, ahead))
     }
 
     /// The share of what the upstream can take that is in use.
     fn used(&self, now: Time) -> f64 {
         let slots = self.running.len() as f64 / f64::from(self.slots(now));
-        match self.meter.allows(now) {
+        match self.pace.allows(now) {
             true => slots,
             false => 1.0,
         }
--- a/src/request/ingress.rs
+++ b/src/request/ingress.rs
@@ -24,6 +24,10 @@
 };
 use crate::{
     admission::seen::Levels,
+    backpressure::{
+        Hint,
+        Hints, //
+    },
     balance::Balancer,
     clock::{
         Span,
@@ -147,6 +151,8 @@
         /// The idempotency record that guards it.
         claim: Option<Claim>,
     },
+    /// Tell a later life of a node what its upstream told.
+    Hint(id::Instance, Hint),
     /// Relay this attempt's answer to the caller.
     Deliver(id::Call, id::Request),
     /// Answer the caller with this code, and with when to come back; after a
@@ -202,6 +208,8 @@
     charging: BTreeMap<id::Team, Line>,
     timers: BTreeSet<(Time, id::Call)>,
     balancer: Balancer,
+    /// What upstreams told through their nodes.
+    hints: Hints,
     budget: Budget,
     typical: BTreeMap<id::Route, f64>,
     looked: Time,
@@ -220,6 +228,7 @@
             charging: BTreeMap::new(),
             timers: BTreeSet::new(),
             balancer: Balancer::new(own),
+            hints: Hints::default(),
             budget: Budget::default(),
             typical: BTreeMap::new(),
             looked: Time::ZERO,
--- a/src/request/outcome.rs
+++ b/src/request/outcome.rs
@@ -10,6 +10,7 @@
 };
 
 use crate::{
+    backpressure::Hint,
     code::{
         Code,
         Verdict, //
@@ -61,4 +62,7 @@
     pub leaving: bool,
     /// The life of the node that reports.
     pub life: Incarnation,
+    /// What the upstream told in its answers, where that binds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub hint: Option<Hint>,
 }
--- a/src/standin/driver.rs
+++ b/src/standin/driver.rs
@@ -348,11 +348,10 @@
         }
         (self.setup.prepare)(&mut core);
         node.core = Some(core);
-        let life = node.life;
-        self.push(
-            self.now,
-            What::Node(number, life, Box::new(Event::Ready(true))),
-        );
+        let (life, upstream) = (node.life, node.upstream.id(number));
+        for event in [Event::Upstream(upstream), Event::Ready(true)] {
+            self.push(self.now, What::Node(number, life, Box::new(event)));
+        }
         let first = self.now + Span::from_ms(number as u64 % TICK.as_ms());
         self.push(first, What::Tick(number));
     }
--- a/src/standin/driver/cold.rs
+++ b/src/standin/driver/cold.rs
@@ -97,6 +97,9 @@
         upstream.refusing = false;
         upstream.cold.until = self.now + frailty.time;
         upstream.cold.starts.clear();
+        upstream.need.restart();
+        let id = upstream.id(node);
+        self.event(node, Event::Upstream(id));
         self.event(node, Event::Ready(true));
         self.event(node, Event::Warmup(frailty.time));
     }
--- a/src/standin/driver/need.rs
+++ b/src/standin/driver/need.rs
@@ -21,6 +21,8 @@
 /// What an upstream tells in its answers, and what it gets meanwhile.
 #[derive(Clone, Debug, Default)]
 pub struct Need {
+    /// How often it has started again.
+    life: u64,
     /// What its answers tell.
     pub signal: Signal,
     /// When each request arrived at it.
@@ -28,7 +30,21 @@
     begun: std::collections::BTreeMap<id::Request, Time>,
 }
 
+impl Need {
+    /// Another life of the upstream tells nothing yet.
+    pub(super) fn restart(&mut self) {
+        self.life += 1;
+        self.signal = Signal::default();
+        self.begun.clear();
+    }
+}
+
 impl Upstream {
+    /// What tells this life of the upstream beside a node from all others.
+    pub(super) fn id(&self, node: usize) -> id::Upstream {
+        id::Upstream((node as u64) << 32 | self.need.life)
+    }
+
     /// Sets what its answers tell from now on.
     pub fn tell(&mut self, signal: Signal) {
         self.need.signal = signal;
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -11,6 +11,8 @@
 mod body;
 #[path = "path/header.rs"]
 mod header;
+#[path = "path/limit.rs"]
+mod limit;
 #[path = "path/link.rs"]
 mod link;
 #[path = "path/operator.rs"]
--- a/tests/platform/path.rs
+++ b/tests/platform/path.rs
@@ -1,5 +1,10 @@
 //! The request path on the platform, over real sockets.
 
+use std::{
+    cell::Cell,
+    rc::Rc, //
+};
+
 use bluebellswitch::standin::{
     caller::Caller,
     upstream::Act, //
@@ -545,3 +550,50 @@
         assert_eq!(site.call("GET", "/view/x", "").await.status, 200);
     });
 }
+
+/// Guards against a server that gets more than the limit in its answers, and against a
+/// limit that clients do not see.
+#[test]
+fn a_server_gets_what_it_names() {
+    run(async {
+        let limit = Rc::new(Cell::new(None));
+        let named = limit.clone();
+        let site = Site::start(move |seen| {
+            let mut headers = signed(seen);
+            headers.extend(
+                named
+                    .get()
+                    .map(|limit: &str| ("server-limit", limit.to_owned())),
+            );
+            Act::Answer(200, headers, "stock".into())
+        })
+        .await;
+        limit.set(Some("0"));
+        let answer = site.call("GET", "/view/x", "").await;
+        assert_eq!(answer.header("server-limit"), Some("0"));
+        let server = &site.machines[1].server;
+        let before = server.seen().len();
+        for _ in 0..20 {
+            let answer = site.call("GET", "/view/x", "").await;
+            assert!(matches!(answer.status, 200 | 503), "{}", answer.status);
+            if answer.status == 503 {
+                assert_eq!(answer.code(), Some(2020));
+                assert!(answer.header("retry-after").is_some());
+            }
+        }
+        let got = server.seen().len() - before;
+        assert!(got <= 3, "{got} requests");
+        limit.set(None);
+        let sequence = Cell::new(1);
+        until("it is served again", || async {
+            pause(50).await;
+            sequence.set(sequence.get() + 1);
+            site.machines[1].say("ready", sequence.get()).await;
+            site.call("GET", "/view/x", "").await.status == 200
+        })
+        .await;
+        for _ in 0..20 {
+            assert_eq!(site.call("GET", "/view/x", "").await.status, 200);
+        }
+    });
+}
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -27,5 +27,7 @@
 mod rejection;
 #[path = "policy/signal.rs"]
 mod signal;
+#[path = "policy/throttle.rs"]
+mod throttle;
 #[path = "policy/warmup.rs"]
 mod warmup;
--- a/tests/policy/balance.rs
+++ b/tests/policy/balance.rs
@@ -96,7 +96,7 @@
         for _ in 0..count {
             self.now += Span::from_ms(2);
             let instance = self.pick(&[]).expect("an instance");
-            self.balancer.sent(&instance);
+            self.balancer.sent(self.now, &instance);
             let (_, lasts) = mark(instance.as_str());
             open.push((self.now + Span::from_ms(lasts), instance.clone()));
             *got.entry(instance.to_string()).or_default() += 1;
@@ -164,7 +164,7 @@
     let mut far = 0;
     for _ in 0..count {
         let name = bench.pick(&[]).expect("an instance");
-        bench.balancer.sent(&name);
+        bench.balancer.sent(bench.now, &name);
         far += u32::from(["d", "e"].contains(&name.as_str()));
     }
     assert!((least..=most).contains(&far), "{far}");
--- a/tests/policy/orders.rs
+++ b/tests/policy/orders.rs
@@ -288,6 +288,7 @@
                 };
                 self.wire(to(&peer), event);
             }
+            ingress::Action::Hint(..) => {}
             ingress::Action::Deliver(..) => self.told = true,
             ingress::Action::Refuse(_, code, _) => {
                 self.told = true;
