Leaving: an upstream whose answers say that it leaves gets nothing new

An upstream may say in its answers that it leaves, before its announcement arrives or where none comes. Nobody read that: in the failing test 483 requests reached one in ten seconds from 2 s after, 557 where the node beside it restarted; none is allowed from a node that passed such an answer on.

The node beside the upstream takes the first such answer as its leaving, for its life: what waits goes elsewhere, its record says not ready, and later heartbeats of the same life change nothing, as they may be seconds late. A node that starts again is told by those that have heard, ahead of their attempts, and believes a hint on leaving at any time. On the own interface a new announcement ends it.

Both interfaces over sockets: heartbeats of the same life, another life, an announcement.

--- a/src/process/carrier.rs
+++ b/src/process/carrier.rs
@@ -672,6 +672,9 @@
         Note::Limit(Limit::Named(rate)) => {
             log::info!(per_second = rate.as_f64(); "the upstream names a limit")
         }
+        Note::Departing { by_hint } => {
+            log::info!(by_hint = *by_hint; "the upstream says in its answers that it leaves")
+        }
         Note::Limit(Limit::Absent) => log::info!("the upstream names no limit any more"),
         Note::Limit(Limit::Unreadable) => {
             log::warn!("the upstream names a limit that is no rate; the last one stays")
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -92,6 +92,11 @@
     Warmup(warmup::Status),
     /// The upstream beside this node tells another limit than before.
     Limit(backpressure::Limit),
+    /// The upstream beside this node has said in an answer that it leaves.
+    Departing {
+        /// Whether another node told, which heard it through a former life.
+        by_hint: bool,
+    },
     /// An operator has evacuated a failure domain, or taken it back.
     Evacuated {
         /// Which.
@@ -385,20 +390,17 @@
                 self.inbound(now, inbound::Event::Ended(request, end), out)
             }
             Event::Ready(ready) => {
-                match self.listed.is_some() {
-                    true => self.listed_ready(now, ready),
-                    false => self.fleet_ready(now, ready),
-                }
                 self.inbound(now, inbound::Event::Ready(ready), out);
+                self.announce_ready(now, self.proxy.is_offered());
             }
             Event::Health(well) => self.inbound(now, inbound::Event::Health(well), out),
             Event::Capacity(slots) => self.inbound(now, inbound::Event::Capacity(slots), out),
             Event::Warmup(left) => self.inbound(now, inbound::Event::Warmup(left), out),
             Event::Signal(signal, begun) => {
-                self.inbound(now, inbound::Event::Signal { signal, begun }, out);
+                self.hear_upstream(now, inbound::Event::Signal { signal, begun }, out);
             }
             Event::Upstream(upstream) => {
-                self.inbound(now, inbound::Event::Upstream(upstream), out);
+                self.hear_upstream(now, inbound::Event::Upstream(upstream), out);
             }
             Event::Datagram(from, message) => self.message(now, Some(from), message, out),
             Event::Store(number, answer) => match self.asked.remove(&number) {
@@ -421,6 +423,24 @@
         }
     }
 
+    /// Takes word of the upstream, after which it may be offered or not.
+    fn hear_upstream(&mut self, now: Time, event: inbound::Event, out: &mut Vec<Action>) {
+        let before = self.proxy.is_offered();
+        self.inbound(now, event, out);
+        let after = self.proxy.is_offered();
+        if after != before {
+            self.announce_ready(now, after);
+        }
+    }
+
+    /// Tells the other nodes whether the upstream takes requests.
+    fn announce_ready(&mut self, now: Time, ready: bool) {
+        match self.listed.is_some() {
+            true => self.listed_ready(now, ready),
+            false => self.fleet_ready(now, ready),
+        }
+    }
+
     fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
         self.ingress(now, ingress::Event::Tick, out);
         self.inbound(now, inbound::Event::Tick, out);
@@ -513,7 +533,7 @@
                 };
                 self.inbound(now, event, out);
             }
-            Frame::Hint(hint) => self.inbound(now, inbound::Event::Hint(hint), out),
+            Frame::Hint(hint) => self.hear_upstream(now, inbound::Event::Hint(hint), out),
             Frame::Cancel { request } if self.record_runs(request) => {}
             Frame::Cancel { request } => {
                 self.inbound(now, inbound::Event::Cancel(peer, request), out);
@@ -721,6 +741,7 @@
         }
         inbound::Action::Warmup(status) => Action::Note(Note::Warmup(status)),
         inbound::Action::Limit(limit) => Action::Note(Note::Limit(limit)),
+        inbound::Action::Departing { by_hint } => Action::Note(Note::Departing { by_hint }),
         inbound::Action::Orphan(_) => return None,
     })
 }
--- a/src/request/backpressure.rs
+++ b/src/request/backpressure.rs
@@ -76,6 +76,9 @@
     /// The limit that it names.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub limit: Option<Rate>,
+    /// Whether it said that it leaves.
+    #[serde(default)]
+    pub leaving: bool,
 }
 
 /// Keeps the limit that one upstream names.
--- a/src/request/inbound.rs
+++ b/src/request/inbound.rs
@@ -187,6 +187,12 @@
     Warmup(Status),
     /// The upstream tells another limit than before.
     Limit(backpressure::Limit),
+    /// The upstream has said in an answer that it leaves; `by_hint` when to a former
+    /// life of this node.
+    Departing {
+        /// Whether another node told.
+        by_hint: bool,
+    },
 }
 
 /// What the proxy consults.
@@ -412,7 +418,7 @@
             }
             Event::Signal { signal, begun } => self.signalled(now, begun, signal, world, out),
             Event::Upstream(upstream) => self.replaced(now, upstream),
-            Event::Hint(hint) => self.hinted(now, hint, out),
+            Event::Hint(hint) => self.hinted(now, hint, world, out),
             Event::Drain => {
                 self.site.draining = true;
                 self.flush(now, Code::Leaving, world, out);
@@ -427,14 +433,31 @@
         if self.upstream.0 != upstream {
             self.upstream = (upstream, now);
             self.pace.throttle.reset();
+            self.site.departing = false;
         }
     }
 
-    fn hinted(&mut self, now: Time, hint: Hint, out: &mut Vec<Action>) {
+    /// Whether callers elsewhere may be told to send work here.
+    pub fn is_offered(&self) -> bool {
+        self.site.ready && !self.site.departing
+    }
+
+    /// The upstream leaves. Its announcement may come later, or never.
+    fn depart(&mut self, now: Time, by_hint: bool, world: &mut World<'_>, out: &mut Vec<Action>) {
+        if !std::mem::replace(&mut self.site.departing, true) {
+            out.push(Action::Departing { by_hint });
+            self.flush(now, Code::Leaving, world, out);
+        }
+    }
+
+    fn hinted(&mut self, now: Time, hint: Hint, world: &mut World<'_>, out: &mut Vec<Action>) {
         let is_known = hint.upstream != id::Upstream::default();
         if is_known && hint.upstream == self.upstream.0 {
             self.pace.throttle.hint(now, hint.limit);
             self.note_limit(now, self.limit(), out);
+            if hint.leaving {
+                self.depart(now, true, world, out);
+            }
         }
     }
 
@@ -447,9 +470,11 @@
     /// What other nodes keep of the upstream.
     fn hint(&self) -> Option<Hint> {
         let limit = self.pace.throttle.limit();
-        limit.is_some().then_some(Hint {
+        let leaving = self.site.departing;
+        (leaving || limit.is_some()).then_some(Hint {
             upstream: self.upstream.0,
             limit,
+            leaving,
         })
     }
 
@@ -484,6 +509,9 @@
             _ => self.limit(),
         };
         self.note_limit(now, news, out);
+        if signal.leaving {
+            self.depart(now, false, world, out);
+        }
     }
 
     /// Notes a limit that is news. One that changes all the time is noted once a
--- a/src/request/inbound/site.rs
+++ b/src/request/inbound/site.rs
@@ -42,6 +42,8 @@
     pub evacuation: Option<Evacuation>,
     /// The upstream takes requests.
     pub ready: bool,
+    /// An answer of the upstream said that it leaves, which holds for its life.
+    pub departing: bool,
     /// What its health or load endpoint says of it.
     pub well: bool,
     /// The upstream has taken requests at some time.
@@ -77,6 +79,7 @@
             cold: None,
             evacuation: None,
             ready,
+            departing: false,
             well: true,
             served: ready,
             draining: false,
@@ -118,7 +121,7 @@
 
     /// Whether new work belongs elsewhere, and will not come back here.
     pub fn leaving(&self) -> bool {
-        self.draining || (self.served && !self.ready)
+        self.draining || self.departing || (self.served && !self.ready)
     }
 
     /// The slots that are told to others. An endpoint that speaks ill of the
--- a/tests/path/limit.rs
+++ b/tests/path/limit.rs
@@ -10,7 +10,8 @@
     AUTH,
     Site,
     TOKEN,
-    run, //
+    run,
+    until, //
 };
 
 async fn operator(site: &Site, path: &str) -> String {
@@ -69,3 +70,33 @@
     less_than_nothing => ("-1"),
     with_a_unit => ("5/s"),
 }
+
+/// Guards against requests for an upstream whose answers say that it leaves. It takes
+/// that back with an announcement.
+#[test]
+fn an_upstream_that_says_that_it_leaves_gets_no_more() {
+    run(async {
+        let headers = vec![("x-bluebellswitch-leaving", "1".to_owned())];
+        let act = Act::Answer(200, headers, "stock".into());
+        let site = Site::start(move |_| act.clone()).await;
+        let answer = site.caller().get("/a", &[AUTH]).await.expect("whole");
+        assert_eq!(answer.status, 200);
+        let before = site.upstream.seen().len();
+        for _ in 0..10 {
+            let answer = site.caller().get("/a", &[AUTH]).await.expect("an answer");
+            assert_eq!(answer.status, 503);
+        }
+        assert_eq!(site.upstream.seen().len(), before);
+        let service = Caller::new(site.inner.addresses().service);
+        let announced = service.send("POST", "/announce", &[], String::new()).await;
+        assert!(announced.expect("an answer").status < 300);
+        until("it is served again", || {
+            site.upstream.seen().len() > before || {
+                let caller = site.caller();
+                actix_rt::spawn(async move { caller.get("/a", &[AUTH]).await.is_ok() });
+                false
+            }
+        })
+        .await;
+    });
+}
--- a/tests/platform/path.rs
+++ b/tests/platform/path.rs
@@ -597,3 +597,37 @@
         }
     });
 }
+
+/// Guards against requests for a server whose answers say that it leaves, whatever its
+/// heartbeats say.
+#[test]
+fn a_server_that_says_so_in_answers_gets_no_more() {
+    run(async {
+        let leaving = Rc::new(Cell::new(false));
+        let said = leaving.clone();
+        let site = Site::start(move |seen| {
+            let mut headers = signed(seen);
+            if said.get() {
+                headers.push(("server-leaving", "1".to_owned()));
+            }
+            Act::Answer(200, headers, "stock".into())
+        })
+        .await;
+        leaving.set(true);
+        let answer = site.call("GET", "/view/x", "").await;
+        assert_eq!(answer.header("server-leaving"), Some("1"));
+        let machine = &site.machines[1];
+        let before = machine.server.seen().len();
+        for sequence in 2..12 {
+            assert_eq!(machine.say("ready", sequence).await, 200);
+            assert_eq!(site.call("GET", "/view/x", "").await.status, 503);
+        }
+        assert_eq!(machine.server.seen().len(), before);
+        leaving.set(false);
+        assert_eq!(machine.say_born("ready", 1, 2).await, 200);
+        until("another life of it is served", || async {
+            site.call("GET", "/view/x", "").await.status == 200
+        })
+        .await;
+    });
+}
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -212,9 +212,18 @@
 
     /// The same of a server that is cold for so many milliseconds more.
     pub async fn say_cold(&self, state: &str, sequence: u64, left_ms: u64) -> u16 {
+        self.say_all(state, sequence, left_ms, 1).await
+    }
+
+    /// The same of a server that started at this time of its clock.
+    pub async fn say_born(&self, state: &str, sequence: u64, born: u64) -> u16 {
+        self.say_all(state, sequence, 0, born).await
+    }
+
+    async fn say_all(&self, state: &str, sequence: u64, left_ms: u64, born: u64) -> u16 {
         let body = json!({ "service": self.pool, "address": self.server.address(),
             "zone": "a", "version": "v1", "capacity_slots": 8, "state": state,
-            "warmup_left_ms": left_ms, "sequence": sequence, "born": 1 });
+            "warmup_left_ms": left_ms, "sequence": sequence, "born": born });
         self.post("Heartbeat", &body.to_string()).await
     }
 
--- a/tests/policy/orders.rs
+++ b/tests/policy/orders.rs
@@ -338,7 +338,8 @@
                 }
                 inbound::Action::Orphan(_)
                 | inbound::Action::Warmup(_)
-                | inbound::Action::Limit(_) => {}
+                | inbound::Action::Limit(_)
+                | inbound::Action::Departing { .. } => {}
             }
         }
     }
--- a/tests/policy/throttle.rs
+++ b/tests/policy/throttle.rs
@@ -150,6 +150,7 @@
             let hint = limit.is_some().then_some(Hint {
                 upstream: UPSTREAM,
                 limit,
+                leaving: false,
             });
             self.hints.note(now, &Self::peer(), self.life, hint, true);
         }
@@ -289,6 +290,7 @@
     let hint = Hint {
         upstream: UPSTREAM,
         limit: Some(Rate::per_second(9)),
+        leaving: false,
     };
     let life = id::Incarnation;
     let mut hints = Hints::default();
