Leaving: what an upstream announced outlives the node beside it

A server whose leaving was acknowledged says so again with its next heartbeat, but one that was delayed may come first after a restart, say ready, and bring requests. Reports of a node whose upstream announced that it leaves now carry the same hint, so that senders tell the next life.

--- a/src/process/beside.rs
+++ b/src/process/beside.rs
@@ -106,6 +106,7 @@
             if let Some(life) = life {
                 self.on(Event::Upstream(life));
             }
+            self.on(Event::Leaving(!ready));
             self.on(Event::Capacity(slots));
             self.believe(ready);
             if let Some(left) = warmup {
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -189,6 +189,9 @@
     Signal(Signal, Time),
     /// This life of the upstream is there.
     Upstream(id::Upstream),
+    /// The upstream announced that it leaves, or that it does not. Silence says
+    /// neither.
+    Leaving(bool),
     /// A datagram arrived.
     Datagram(SocketAddr, Message),
     /// The store answered the call with this number.
@@ -399,6 +402,7 @@
             Event::Signal(signal, begun) => {
                 self.hear_upstream(now, inbound::Event::Signal { signal, begun }, out);
             }
+            Event::Leaving(leaving) => self.inbound(now, inbound::Event::Leaving(leaving), out),
             Event::Upstream(upstream) => {
                 self.hear_upstream(now, inbound::Event::Upstream(upstream), out);
             }
--- a/src/request/inbound.rs
+++ b/src/request/inbound.rs
@@ -155,6 +155,8 @@
     Upstream(id::Upstream),
     /// Another node tells what the upstream told through a former life of this one.
     Hint(Hint),
+    /// The upstream announced that it leaves, or that it does not.
+    Leaving(bool),
     /// The node was told to stop.
     Drain,
     /// Time has passed.
@@ -419,6 +421,7 @@
             Event::Signal { signal, begun } => self.signalled(now, begun, signal, world, out),
             Event::Upstream(upstream) => self.replaced(now, upstream),
             Event::Hint(hint) => self.hinted(now, hint, world, out),
+            Event::Leaving(leaving) => self.site.announced_leaving = leaving,
             Event::Drain => {
                 self.site.draining = true;
                 self.flush(now, Code::Leaving, world, out);
@@ -434,6 +437,7 @@
             self.upstream = (upstream, now);
             self.pace.throttle.reset();
             self.site.departing = false;
+            self.site.announced_leaving = false;
         }
     }
 
@@ -470,7 +474,7 @@
     /// What other nodes keep of the upstream.
     fn hint(&self) -> Option<Hint> {
         let limit = self.pace.throttle.limit();
-        let leaving = self.site.departing;
+        let leaving = self.site.departing || self.site.announced_leaving;
         (leaving || limit.is_some()).then_some(Hint {
             upstream: self.upstream.0,
             limit,
--- a/src/request/inbound/site.rs
+++ b/src/request/inbound/site.rs
@@ -44,6 +44,8 @@
     pub ready: bool,
     /// An answer of the upstream said that it leaves, which holds for its life.
     pub departing: bool,
+    /// Its last announcement said that it leaves.
+    pub announced_leaving: bool,
     /// What its health or load endpoint says of it.
     pub well: bool,
     /// The upstream has taken requests at some time.
@@ -80,6 +82,7 @@
             evacuation: None,
             ready,
             departing: false,
+            announced_leaving: false,
             well: true,
             served: ready,
             draining: false,
