Limit: a line a second at most, and an announcement said again is no new life

By reading the diff: an upstream that named a limit and nonsense by turns would have written a line an answer, as the second's wait only held for another value; and a service that announces itself again and again on its own listener began a new life each time, which forgot its limit until the next answer. Both have their line in tests/policy/signal.rs and tests/path/limit.rs.

--- a/src/process/carrier.rs
+++ b/src/process/carrier.rs
@@ -312,7 +312,9 @@
     /// The service says that it takes requests, or that it leaves.
     pub(crate) fn announce(&self, ready: bool) {
         self.left.set(!ready);
-        if ready {
+        // Said again, it is no other life.
+        let is_news = ready && !self.core().is_offered();
+        if is_news {
             let life = self.me.incarnation.0.wrapping_add(self.next_number());
             self.on(Event::Upstream(id::Upstream(life)));
         }
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -355,6 +355,11 @@
         is_allowed
     }
 
+    /// Whether other nodes are told that the upstream takes requests.
+    pub(crate) fn is_offered(&self) -> bool {
+        self.proxy.is_offered()
+    }
+
     /// Sets which mechanisms are in force.
     pub fn set_policy(&mut self, policy: Policy) {
         self.policy = policy;
--- a/src/request/inbound.rs
+++ b/src/request/inbound.rs
@@ -83,7 +83,7 @@
 /// service answers within milliseconds once its call has failed.
 const BLAMED: Span = Span::from_ms(60);
 
-/// Time between two notes of a limit that only changes its value.
+/// Time between two notes of a limit, at least.
 const LIMIT_NOTE_INTERVAL: Span = Span::from_secs(1);
 
 /// How the upstream's part of an attempt ended.
@@ -518,13 +518,11 @@
         }
     }
 
-    /// Notes a limit that is news. One that changes all the time is noted once a
-    /// second.
+    /// Notes a limit that is news, once a second at most. Each answer brings it here, so
+    /// the last one is noted in the end.
     fn note_limit(&mut self, now: Time, limit: backpressure::Limit, out: &mut Vec<Action>) {
         let (before, noted) = self.named;
-        let same_kind = std::mem::discriminant(&before) == std::mem::discriminant(&limit);
-        let is_due = now.since(noted) >= LIMIT_NOTE_INTERVAL;
-        if limit != before && (!same_kind || is_due) {
+        if limit != before && now.since(noted) >= LIMIT_NOTE_INTERVAL {
             self.named = (limit, now);
             out.push(Action::Limit(limit));
         }
--- a/tests/path/limit.rs
+++ b/tests/path/limit.rs
@@ -31,6 +31,9 @@
         let site = Site::start(move |_| act.clone()).await;
         let answer = site.caller().get("/a", &[AUTH]).await.expect("whole");
         assert_eq!(answer.status, 200);
+        let service = Caller::new(site.inner.addresses().service);
+        let announced = service.send("POST", "/announce", &[], String::new()).await;
+        assert!(announced.expect("an answer").status < 300, "said again");
         let before = site.upstream.seen().len();
         for _ in 0..20 {
             let answer = site.caller().get("/a", &[AUTH]).await.expect("an answer");
--- a/tests/policy/signal.rs
+++ b/tests/policy/signal.rs
@@ -45,6 +45,10 @@
     assert_eq!(told(&mut bench, named(14)), [], "another one at once");
     bench.now += Span::from_secs(1);
     assert_eq!(told(&mut bench, named(14)), [Action::Limit(named(14))]);
+    for _ in 0..20 {
+        assert_eq!(told(&mut bench, Limit::Unreadable), []);
+        assert_eq!(told(&mut bench, named(14)), []);
+    }
 }
 
 /// Guards against a node that starts again, hears a heartbeat that was delayed, and
