--- a/src/request/inbound.rs
+++ b/src/request/inbound.rs
@@ -9,6 +9,7 @@
 mod memory;
 mod pace;
 mod running;
+mod signal;
 mod site;
 mod waiting;
 
@@ -39,8 +40,8 @@
     },
     allowance::Purses,
     backpressure::{
-        self,
         Hint,
+        Limit as NamedLimit,
         Signal, //
     },
     clock::{
@@ -83,9 +84,6 @@
 /// service answers within milliseconds once its call has failed.
 const BLAMED: Span = Span::from_ms(60);
 
-/// Time between two notes of a limit, at least.
-const LIMIT_NOTE_INTERVAL: Span = Span::from_secs(1);
-
 /// How the upstream's part of an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
@@ -188,7 +186,7 @@
     /// The upstream is believed to be cold or warm from now on.
     Warmup(Status),
     /// The upstream tells another limit than before.
-    Limit(backpressure::Limit),
+    Limit(NamedLimit),
     /// The upstream has said in an answer that it leaves; `by_hint` when to a former
     /// life of this node.
     Departing {
@@ -238,7 +236,7 @@
     /// When a call of the service failed last.
     failed: Option<Time>,
     /// The limit that was told last, and when that was noted.
-    named: (backpressure::Limit, Time),
+    named: (NamedLimit, Time),
 }
 
 impl Proxy {
@@ -264,7 +262,7 @@
             memory: Memory::default(),
             makers: Makers::default(),
             failed: None,
-            named: (backpressure::Limit::Absent, Time::ZERO),
+            named: (NamedLimit::Absent, Time::ZERO),
         }
     }
 
@@ -431,103 +429,6 @@
         self.fill(now, world, out);
     }
 
-    /// Another life of the upstream knows nothing of what the former one told.
-    fn replaced(&mut self, now: Time, upstream: id::Upstream) {
-        if self.upstream.0 != upstream {
-            self.upstream = (upstream, now);
-            self.pace.throttle.reset();
-            self.site.departing = false;
-            self.site.announced_leaving = false;
-        }
-    }
-
-    /// Whether callers elsewhere may be told to send work here.
-    pub fn is_offered(&self) -> bool {
-        self.site.ready && !self.site.departing
-    }
-
-    /// The upstream leaves. Its announcement may come later, or never.
-    fn depart(&mut self, now: Time, by_hint: bool, world: &mut World<'_>, out: &mut Vec<Action>) {
-        if !std::mem::replace(&mut self.site.departing, true) {
-            out.push(Action::Departing { by_hint });
-            self.flush(now, Code::Leaving, world, out);
-        }
-    }
-
-    fn hinted(&mut self, now: Time, hint: Hint, world: &mut World<'_>, out: &mut Vec<Action>) {
-        let is_known = hint.upstream != id::Upstream::default();
-        if is_known && hint.upstream == self.upstream.0 {
-            self.pace.throttle.hint(now, hint.limit);
-            self.note_limit(now, self.limit(), out);
-            if hint.leaving {
-                self.depart(now, true, world, out);
-            }
-        }
-    }
-
-    /// The limit in force.
-    fn limit(&self) -> backpressure::Limit {
-        let limit = self.pace.throttle.limit();
-        limit.map_or(backpressure::Limit::Absent, backpressure::Limit::Named)
-    }
-
-    /// What other nodes keep of the upstream.
-    fn hint(&self) -> Option<Hint> {
-        let limit = self.pace.throttle.limit();
-        let leaving = self.site.departing || self.site.announced_leaving;
-        (leaving || limit.is_some()).then_some(Hint {
-            upstream: self.upstream.0,
-            limit,
-            leaving,
-        })
-    }
-
-    /// Takes a health probe out of what the upstream may get. Returns whether there
-    /// is room for it.
-    pub fn probe(&mut self, now: Time) -> bool {
-        let is_allowed = self.pace.allows(now);
-        if is_allowed {
-            self.pace.take(now);
-        }
-        is_allowed
-    }
-
-    fn signalled(
-        &mut self,
-        now: Time,
-        begun: Time,
-        signal: Signal,
-        world: &mut World<'_>,
-        out: &mut Vec<Action>,
-    ) {
-        // A former life of the upstream may have answered.
-        if begun < self.upstream.1 {
-            return;
-        }
-        if signal.limit == backpressure::Limit::Unreadable {
-            world.counts.add(Counter::LimitUnreadable);
-        }
-        self.pace.throttle.hear(now, begun, signal.limit);
-        let news = match signal.limit {
-            backpressure::Limit::Unreadable => signal.limit,
-            _ => self.limit(),
-        };
-        self.note_limit(now, news, out);
-        if signal.leaving {
-            self.depart(now, false, world, out);
-        }
-    }
-
-    /// Notes a limit that is news, once a second at most. Each answer brings it here, so
-    /// the last one is noted in the end.
-    fn note_limit(&mut self, now: Time, limit: backpressure::Limit, out: &mut Vec<Action>) {
-        let (before, noted) = self.named;
-        if limit != before && now.since(noted) >= LIMIT_NOTE_INTERVAL {
-            self.named = (limit, now);
-            out.push(Action::Limit(limit));
-        }
-    }
-
     fn count_slots(&mut self) {
         let slots = self.site.slots();
         self.limit.configure(slots);
--- a/src/standin/driver/need.rs
+++ b/src/standin/driver/need.rs
@@ -1,5 +1,7 @@
 //! Upstreams in need: they name a limit in their answers.
 
+use std::collections::BTreeMap;
+
 use super::{
     Driver,
     Upstream, //
@@ -27,7 +29,8 @@
     pub signal: Signal,
     /// When each request arrived at it.
     arrivals: Vec<Time>,
-    begun: std::collections::BTreeMap<id::Request, Time>,
+    /// When the requests that it works on began.
+    begun: BTreeMap<id::Request, Time>,
 }
 
 impl Need {
