--- a/tests/regression/named_limit.rs
+++ b/tests/regression/named_limit.rs
@@ -205,3 +205,36 @@
     let share = whole as f64 / within.len() as f64;
     assert!(share >= 0.99, "{share}");
 }
+
+/// Guards against requests of other routes, and important ones, that fail with a pool
+/// whose upstreams all name a limit.
+#[test]
+fn a_limited_pool_serves_the_most_important_first() {
+    let site = Site::kandy();
+    let mut driver = Driver::new(site.setup(5));
+    for flow in site.flows(60, 1) {
+        driver.flow(flow);
+    }
+    driver.run_for(Span::from_secs(2));
+    for node in driver.pool("course-catalog") {
+        let limit = Some(Rate::per_second(30));
+        driver.upstream(node).name_limit(limit);
+    }
+    driver.run_for(CONTACT);
+    let from = driver.now();
+    driver.run_for(Span::from_secs(10));
+    let until = driver.now();
+    driver.run_for(Span::from_secs(5));
+    let share = |path: &str| {
+        let items = driver.ledger.items.iter();
+        let within = items.filter(|item| item.begun >= from && item.begun < until);
+        let of: Vec<_> = within
+            .filter(|item| driver.flows()[item.flow].path == path)
+            .collect();
+        let whole = of.iter().filter(|item| item.whole.is_some()).count();
+        whole as f64 / of.len() as f64
+    };
+    assert!(share("/bookings") >= 0.95);
+    assert!(share("/prints") >= 0.99);
+    assert!(share("/species/1") >= 0.99);
+}
