Read a node's former record at a tenth of the price

Cause: a start paid a full read for the incarnation in its former record, which guards against a clock that went backwards: 984 full reads at the fleet's start.

Change: the read may be some seconds old (Call::Peek, `serializable` on the wire). It matters only if the clock went backwards and the former life was shorter than that.

--- a/src/process/directory.rs
+++ b/src/process/directory.rs
@@ -416,7 +416,8 @@
 }
 
 /// The incarnation in the store's record of an instance; `None` if there is no
-/// record, or no answer of the store within [`PREVIOUS_RECORD_TIMEOUT`].
+/// record, or no answer of the store within [`PREVIOUS_RECORD_TIMEOUT`]. The record may
+/// be some seconds old, which matters only if the clock went backwards in these too.
 ///
 /// Guards against a wall clock that goes backwards between two incarnations of a
 /// node. The new incarnation would then be the lower one: the other nodes would
@@ -425,7 +426,7 @@
 /// old value.
 pub async fn previous_incarnation(store: &dyn Store, instance: &Instance) -> Option<Incarnation> {
     let key = record_key(instance);
-    let asked = store.call(Call::Get { key });
+    let asked = store.call(Call::Peek { key });
     let answer = tokio::time::timeout(PREVIOUS_RECORD_TIMEOUT.to_std(), asked).await;
     let Ok(Answer::Value(Some(entry))) = answer else {
         return None;
