Replace the record of a former life without a refused write first

Cause: a node that started again wrote its record as if there were none, was refused, and wrote again over the revision in the refusal: one full call for nothing in each restart.

Change: the revision comes with the read of the former incarnation. A revision that is out of date is refused and corrected as before.

--- a/src/process/server.rs
+++ b/src/process/server.rs
@@ -197,13 +197,14 @@
         let (links, socket) = bind_pair(settings.listen.links).await?;
         let addresses = listeners.addresses(links.local_addr()?)?;
         let mut me = identity(&settings, addresses.links);
-        let mut has_previous_record = false;
+        let mut previous_revision = None;
         if interface.configuration.is_some()
             && let Some(store) = &store
-            && let Some(previous) = directory::previous_incarnation(&**store, &me.instance).await
+            && let Some((incarnation, revision)) =
+                directory::previous_record(&**store, &me.instance).await
         {
-            me.incarnation = me.incarnation.max(id::Incarnation(previous.0 + 1));
-            has_previous_record = true;
+            me.incarnation = me.incarnation.max(id::Incarnation(incarnation.0 + 1));
+            previous_revision = Some(revision);
         }
         let mut core = Core::new(Identity {
             peer: me.clone(),
@@ -212,8 +213,8 @@
         core.seed(settings.seeds.iter().copied());
         if let Some(source) = interface.configuration {
             core.enable_store_discovery(source, bounds);
-            if has_previous_record {
-                core.replace_previous_record();
+            if let Some(revision) = previous_revision {
+                core.replace_previous_record(revision);
             }
             core.set_policy(Policy {
                 max_reroutes: MAX_REROUTES,
