Share a lease among the nodes of a domain

Cause: each node created a lease and renewed it every 2 s, 984 full calls at a start and 492 renewals a second for nothing new; both grow with the fleet.

Change: a watcher offers its own lease with each reply. Askers write their records under it and trust them for 4 s from when the renewal was sent, as with a lease of their own. The watcher removes a record 5 s after its last reply to that node, so the argument of the rates holds: whoever counts itself a member has a record. When the watcher falls silent, records move to the lease of the next one before the old one lapses; a node that is offered nothing creates its own. A record that was removed begins a new membership, and a late write that left the record under another lease is written over.

Measured, virtual time: at most 198 calls in 20 quiet seconds at 30, 60 and 120 nodes, 84 writes at a start of 60. Before, renewals alone were 10 a node in that time.

--- a/tests/fleet/introducer.rs
+++ b/tests/fleet/introducer.rs
@@ -266,3 +266,77 @@
     introduction.handle_answer(now, Answer::Conflict(Some(entry("me", 8))));
     assert_eq!(introduction.introducer_since(), Some(now));
 }
+
+/// Guards against calls that grow with each node and each second of its life: leases
+/// were renewed by all nodes.
+#[test]
+fn the_calls_of_quiet_seconds_do_not_grow_with_the_fleet() {
+    for nodes in [30, 60, 120] {
+        let mut driver = fleet(nodes);
+        driver.run_for(Span::from_secs(20));
+        assert!(is_complete(&mut driver, nodes));
+        let before = driver.store.calls();
+        driver.run_for(Span::from_secs(20));
+        let calls = driver.store.calls() - before;
+        // Two questions that wait 0.9 s and a renewal every second in each domain.
+        assert!(calls <= 3 * 66, "{calls} calls at {nodes} nodes");
+    }
+}
+
+/// Guards against a start that creates a lease for each node.
+#[test]
+fn a_start_writes_one_record_for_each_node() {
+    let mut driver = fleet(60);
+    assert!(time_until_complete(&mut driver, Span::from_secs(10)).is_some());
+    let writes = driver.store.writes();
+    // Besides, in each domain: claims of the introducer's role, and its lease.
+    assert!(writes <= 60 + 3 * 8, "{writes} writes of 60 nodes");
+}
+
+/// Guards against a domain that vanishes with the node whose lease all records share.
+#[test]
+fn the_members_outlive_the_holder_of_their_lease() {
+    let mut driver = fleet(30);
+    assert!(time_until_complete(&mut driver, Span::from_secs(10)).is_some());
+    driver.run_for(Span::from_secs(10));
+    let mut watched = 0;
+    for node in 0..10 {
+        driver.kill(node);
+        for _ in 0..15 {
+            driver.run_for(Span::from_secs(1));
+            for other in (0..30).filter(|other| *other != node) {
+                let core = driver.core(other).expect("it lives");
+                watched += 1;
+                let known = core.members().len();
+                assert!(known >= 29, "node {other} knows {known} after {node} died");
+            }
+        }
+        driver.restart(node);
+        driver.run_for(Span::from_secs(5));
+        assert!(is_complete(&mut driver, 30), "after node {node}");
+    }
+    assert!(watched > 4000);
+}
+
+/// Guards against a record that stays for as long as the lease of another node lives,
+/// although its own node is dead.
+#[test]
+fn the_record_of_a_dead_node_is_removed() {
+    let mut driver = fleet(30);
+    assert!(time_until_complete(&mut driver, Span::from_secs(10)).is_some());
+    for node in [3, 13, 23] {
+        driver.kill(node);
+        let key = format!("bluebellswitch/nodes/n{node}");
+        let start = driver.now();
+        let is_listed = |driver: &mut Driver| {
+            let (now, key) = (driver.now(), key.clone());
+            let answer = driver.store.on(now, &Call::Get { key });
+            answer != Some(Answer::Value(None))
+        };
+        while is_listed(&mut driver) {
+            driver.run_for(Span::from_ms(100));
+            let took = driver.now().since(start);
+            assert!(took <= Span::from_secs(8), "{node} is still listed");
+        }
+    }
+}
