Use a retry budget whose share is less than one retry

Cause: the slack of the fleet's budget is about one retry a node and window, of which a node may save two fifths. At the fleet a node sends some 0.7 requests a second to a pool, so all that it can ever hold is 0.64 of a retry, and one costs 1: no node could retry.

Change: where the most that a node can hold is less than one retry, what it holds is the probability of a retry, and is consumed in any case. The sum over the fleet is what the shares allow, at any size; nothing changes where a node can hold a whole one.

--- a/src/request/ingress/attempt.rs
+++ b/src/request/ingress/attempt.rs
@@ -555,7 +555,7 @@
         if !has_allowance && !can_repeat {
             return false;
         }
-        if env.policy.retry_budget && !self.retry_budget.try_take(now, &pool, importance) {
+        if env.policy.retry_budget && !self.retry_budget.try_take(now, &pool, importance, env.rng) {
             return false;
         }
         if has_allowance {
--- a/src/request/retry.rs
+++ b/src/request/retry.rs
@@ -150,16 +150,31 @@
     }
 
     /// Consumes one retry if the pool's budget allows it for this importance.
-    pub fn try_take(&mut self, now: Time, pool: &Pool, importance: Importance) -> bool {
+    ///
+    /// A node of a large fleet may hold less than one retry, however long it saves. What
+    /// it holds is then the probability of a retry and is consumed in any case, so that
+    /// all nodes together retry as often as their shares allow.
+    pub fn try_take(
+        &mut self,
+        now: Time,
+        pool: &Pool,
+        importance: Importance,
+        rng: &mut ChaCha8Rng,
+    ) -> bool {
         let limits = self.limits;
         let bucket = self.bucket(now, pool);
+        let capacity = bucket.capacity(limits);
         let reserved = match importance {
             Importance::Critical => 0.0,
-            _ => bucket.capacity(limits) * limits.critical_reserve,
+            _ => capacity * limits.critical_reserve,
         };
-        let available = bucket.tokens >= 1.0 + reserved;
-        bucket.tokens -= f64::from(u8::from(available));
-        available
+        let usable = (bucket.tokens - reserved).max(0.0);
+        let (allowed, cost) = match capacity - reserved < 1.0 {
+            true => (rng.random_bool(usable.min(1.0)), usable.min(1.0)),
+            false => (usable >= 1.0, f64::from(u8::from(usable >= 1.0))),
+        };
+        bucket.tokens -= cost;
+        allowed
     }
 
     fn bucket(&mut self, now: Time, pool: &Pool) -> &mut Bucket {
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -25,6 +25,8 @@
 mod overload;
 #[path = "policy/rejection.rs"]
 mod rejection;
+#[path = "policy/retry.rs"]
+mod retry;
 #[path = "policy/signal.rs"]
 mod signal;
 #[path = "policy/throttle.rs"]
