Renew a shared lease before its holder has a record

Cause: a holder whose upstream was not ready yet renewed nothing, since a renewal came only once its record was written, up to 3 s after its lease was granted.

Change: the lease is renewed while the first record waits.

Measured by tests/fleet/directory.rs, which fails before: two renewals before there is a record.

--- a/src/process/directory.rs
+++ b/src/process/directory.rs
@@ -493,7 +493,7 @@
                 .first_write_at
                 .get_or_insert(now + FIRST_WRITE_DELAY);
             if now < first_write_at {
-                return None;
+                return registration.renewal(now);
             }
         }
         if is_stored || (has_written && registration.task.is_failing()) {
