Revert "Wait for an upstream that starts with its node"

The nodes of a small site then register up to 1.5 s later, after their introducer, and serve their first request later than tests/platform/ allows: 3 to 23 of its 88 tests failed in five runs, 'never: a request is served'. The server there announces itself once and counts as gone after 4.5 s, as long as a new token server waits; whether the start or the fixture has to change is not settled.

--- a/src/process/directory.rs
+++ b/src/process/directory.rs
@@ -63,7 +63,7 @@
 const LEASE_OFFER_WAIT: Span = Span::from_secs(1);
 /// How long a starting node waits for the lease of a watcher before it creates one of
 /// its own. It covers the search for an introducer.
-const OWN_LEASE_DELAY: Span = Span::from_secs(4);
+const OWN_LEASE_DELAY: Span = Span::from_secs(3);
 /// Interval between lease renewals. Two consecutive renewals may be lost before
 /// the lease expires.
 const RENEWAL_INTERVAL: Span = Span::from_ms(2000);
@@ -92,9 +92,8 @@
 const PREVIOUS_RECORD_TIMEOUT: Span = Span::from_ms(300);
 
 /// How long the first record of a node waits until its upstream is ready, so that one
-/// write announces both. An upstream that starts with its node announces itself a second or
-/// two later.
-const FIRST_WRITE_DELAY: Span = Span::from_secs(3);
+/// write announces both. Upstreams announce themselves about every 1.5 s.
+const FIRST_WRITE_DELAY: Span = Span::from_ms(1600);
 
 /// A change of the set of members.
 #[derive(Clone, Debug, PartialEq)]
--- a/tests/fleet/directory.rs
+++ b/tests/fleet/directory.rs
@@ -350,8 +350,8 @@
     let mut story = unready(false);
     assert_eq!(registering(&mut story), None);
     story.now = story.directory.due();
-    assert!(story.now <= Time::from_ms(1000 + 3000), "{:?}", story.now);
-    story.now = Time::from_ms(1000 + 3000);
+    assert!(story.now <= Time::from_ms(1000 + 1600), "{:?}", story.now);
+    story.now = Time::from_ms(1000 + 1600);
     assert!(matches!(registering(&mut story), Some(Call::Swap { .. })));
     let mut restarted = unready(true);
     let Some(Call::Swap { expect, .. }) = registering(&mut restarted) else {
@@ -515,7 +515,7 @@
     let mut newcomer = Story::new();
     newcomer.directory.require_own_lease(newcomer.now, false);
     assert_eq!(registering(&mut newcomer), None);
-    newcomer.now += Span::from_secs(4);
+    newcomer.now += Span::from_secs(3);
     let next = registering(&mut newcomer);
     assert!(matches!(next, Some(Call::Grant { .. })), "{next:?}");
 }
