--- a/src/process/carrier.rs
+++ b/src/process/carrier.rs
@@ -726,10 +726,9 @@
 /// ingress dialed.
 pub(crate) fn is_for_inbound(frame: &Frame) -> bool {
     match frame {
-        Frame::Attempt { .. }
-        | Frame::Hint(_)
-        | Frame::Cancel { .. }
-        | Frame::Revoke { .. } => true,
+        Frame::Attempt { .. } | Frame::Hint(_) | Frame::Cancel { .. } | Frame::Revoke { .. } => {
+            true
+        }
         // The asker may not be a member yet, so that it cannot be dialed.
         Frame::Control(message) => !matches!(**message, Message::Feed(feed::Message::Reply { .. })),
         Frame::Chunk { side, .. } | Frame::End { side, .. } | Frame::Cut { side, .. } => {
--- a/src/process/directory.rs
+++ b/src/process/directory.rs
@@ -1,16 +1,9 @@
 //! Membership through records in the store.
 //!
-//! Every node keeps a record of itself in the store and watches the records of all
-//! other nodes. Nodes that use this directory have no other discovery mechanism and do
-//! not gossip. When a node dies, its peers notice the broken links at once and the
-//! missing record later.
-//!
-//! A record depends on a lease, usually that of the watcher of the failure domain, which
-//! renews it for all. Each reply of the watcher lets the asker rely on the lease for a
-//! while longer. The watcher removes the record of a node that has not asked for
-//! longer than that, so a node that still counts itself a member has a record, as with
-//! a lease of its own. A node that is offered no lease, or whose watcher falls silent,
-//! moves to the lease of another watcher or creates its own.
+//! Every node keeps a record of itself in the store, under a lease that it
+//! renews, and watches the records of all other nodes. Nodes that use this
+//! directory have no other discovery mechanism and do not gossip. When a node
+//! dies, its peers notice the broken links at once and the expired lease later.
 //!
 //! A store outage must not look like the death of the whole fleet: leases may
 //! expire while the store is unavailable, so that all records vanish at once. A
@@ -22,11 +15,6 @@
 
 use std::collections::BTreeMap;
 
-use serde::{
-    Deserialize,
-    Serialize, //
-};
-
 use crate::{
     clock::{
         Span,
@@ -43,7 +31,6 @@
     store::{
         Answer,
         Call,
-        Entry,
         Store, //
     },
 };
@@ -54,22 +41,9 @@
 /// Lease duration of a record. It is longer than [`MEMBERSHIP_VALIDITY`], so that a
 /// node that still considers itself a member is one in the view of all others.
 pub const RECORD_TTL: Span = Span::from_secs(6);
-/// Age of the last confirmation at which a lease of another node is given up. What is
-/// left of [`MEMBERSHIP_VALIDITY`] suffices to write the record under another lease.
-const HOLDER_TIMEOUT: Span = Span::from_ms(2500);
-/// How long a node keeps a lease of its own on which nobody relies any more.
-const OWN_LEASE_RETENTION: Span = Span::from_secs(60);
-/// How long a node waits for another lease after that of a watcher has lapsed.
-const LEASE_OFFER_WAIT: Span = Span::from_secs(1);
-/// How long a starting node waits for the lease of a watcher before it creates one of
-/// its own. It covers the search for an introducer.
-const OWN_LEASE_DELAY: Span = Span::from_secs(3);
 /// Interval between lease renewals. Two consecutive renewals may be lost before
 /// the lease expires.
 const RENEWAL_INTERVAL: Span = Span::from_ms(2000);
-/// The same for a lease on which other nodes rely, which hear of a renewal with the next
-/// reply.
-const SHARED_RENEWAL_INTERVAL: Span = Span::from_ms(1000);
 /// How long a node considers itself a member after it sent its last successful
 /// renewal.
 pub const MEMBERSHIP_VALIDITY: Span = Span::from_secs(4);
@@ -172,63 +146,16 @@
     At(Time),
 }
 
-/// The lease of another node, under which this node may write its record.
-#[derive(Clone, Debug, PartialEq)]
-pub struct LeaseOffer {
-    /// The node that renews the lease.
-    pub holder: Instance,
-    /// The lease.
-    pub lease: Lease,
-    /// When the last renewal was sent, by this node's clock.
-    pub confirmed_at: Time,
-}
-
-/// A lease on which this node's record depends.
-#[derive(Clone, Debug)]
-struct HeldLease {
-    lease: Lease,
-    /// The node that renews it, if it is not this one.
-    holder: Option<Instance>,
-    /// When the last successful renewal was sent.
-    confirmed_at: Time,
-    adopted_at: Time,
-}
-
-/// The value of a record.
-#[derive(Serialize)]
-struct Record<'a> {
-    #[serde(flatten)]
-    peer: &'a Peer,
-    /// The lease under which it was written, so that its holder knows the records that
-    /// depend on it.
-    lease: Lease,
-}
-
-/// The part of a record that names its lease.
-#[derive(Deserialize)]
-struct RecordLease {
-    lease: Lease,
-}
-
 /// Maintains this node's own record.
 #[derive(Clone, Debug)]
 struct Registration {
     task: CallSchedule,
-    lease: Option<HeldLease>,
-    offer: Option<LeaseOffer>,
-    /// Whether other nodes rely on a lease of this node.
-    needs_own_lease: bool,
-    /// Whether the call in flight creates a lease.
-    is_granting: bool,
-    /// When this node creates a lease if none is offered.
-    grant_at: Option<Time>,
+    lease: Option<Lease>,
     /// The revision that the first write of this process expects to replace; zero
     /// if there is no record. `None` once that write has taken effect.
     expected_revision: Option<Revision>,
     /// The record in the store, as far as this node knows.
     stored: Option<Peer>,
-    /// The revision of that record.
-    stored_revision: Revision,
     pending_write: Option<Peer>,
     confirmed_at: Option<Time>,
     member_since: Option<MemberSince>,
@@ -269,13 +196,8 @@
             registration: Registration {
                 task: CallSchedule::new(),
                 lease: None,
-                offer: None,
-                needs_own_lease: false,
-                is_granting: false,
-                grant_at: None,
                 expected_revision: Some(Revision::default()),
                 stored: None,
-                stored_revision: Revision::default(),
                 pending_write: None,
                 confirmed_at: None,
                 member_since: None,
@@ -309,44 +231,6 @@
         }
     }
 
-    /// Sets whether this node has to hold a lease of its own, since others rely on it.
-    pub fn require_own_lease(&mut self, now: Time, required: bool) {
-        let registration = &mut self.registration;
-        if registration.needs_own_lease != required {
-            registration.needs_own_lease = required;
-            if required && !registration.has_own_lease() {
-                self.schedule_registration(now);
-            }
-        }
-    }
-
-    /// Handles an offer of a watcher. For a record that depends on this lease it is a
-    /// renewal.
-    pub fn handle_offer(&mut self, now: Time, offer: LeaseOffer) {
-        let registration = &mut self.registration;
-        match &mut registration.lease {
-            Some(held)
-                if held.lease == offer.lease && held.holder.as_ref() == Some(&offer.holder) =>
-            {
-                held.confirmed_at = held.confirmed_at.max(offer.confirmed_at);
-                if registration.stored.is_some() {
-                    registration.confirm_membership(offer.confirmed_at);
-                }
-            }
-            None => self.schedule_registration(now),
-            _ => {}
-        }
-        self.registration.offer = Some(offer);
-    }
-
-    /// The lease that this node holds itself, with the time at which its last renewal
-    /// was sent, for the records of other nodes. `None` if it may lapse soon.
-    pub fn own_lease(&self, now: Time) -> Option<(Lease, Time)> {
-        let held = self.registration.lease.as_ref()?;
-        let is_fresh = held.holder.is_none() && now.since(held.confirmed_at) < HOLDER_TIMEOUT;
-        (is_fresh && !self.leaving).then_some((held.lease, held.confirmed_at))
-    }
-
     /// Removes this node's record permanently.
     pub fn leave(&mut self, now: Time) {
         self.leaving = true;
@@ -456,7 +340,12 @@
                     self.registration.task.begin(now);
                     calls.push((Purpose::Register, call));
                 }
-                None => self.registration.task.next_at = self.registration.next_check(now),
+                None => {
+                    let first_write_at = self.registration.first_write_at;
+                    let first_write_at = first_write_at.filter(|at| *at > now);
+                    self.registration.task.next_at =
+                        first_write_at.unwrap_or(now + RENEWAL_INTERVAL);
+                }
             }
         }
         if self.listing.task.due() <= now && !self.leaving {
@@ -475,17 +364,14 @@
             registration.member_since = None;
         }
         if self.leaving {
-            return registration.removal(&self.me.instance);
+            return registration.lease.map(|lease| Call::Revoke { lease });
         }
-        let Some(lease) = registration.select_lease(now) else {
-            return registration.grant(now);
+        let Some(lease) = registration.lease else {
+            return Some(Call::Grant { ttl: RECORD_TTL });
         };
         // While the store rejects calls, retry with the cheapest call to detect when
         // it recovers.
         let is_stored = registration.stored.as_ref() == Some(&self.me);
-        if is_stored && !registration.has_own_lease() {
-            return None;
-        }
         let has_written = registration.expected_revision.is_none();
         if !has_written && !self.me.ready {
             let first_write_at = *registration
@@ -498,11 +384,7 @@
         if is_stored || (has_written && registration.task.is_failing()) {
             return Some(Call::Renew { lease });
         }
-        let record = Record {
-            peer: &self.me,
-            lease,
-        };
-        let value = serde_json::to_string(&record).ok()?;
+        let value = serde_json::to_string(&self.me).ok()?;
         registration.pending_write = Some(self.me.clone());
         let key = record_key(&self.me.instance);
         let lease = Some(lease);
@@ -531,7 +413,6 @@
                 Vec::new()
             }
             Purpose::Watch => {
-                self.detect_late_write(now, &answer);
                 let changes = self.listing.handle_answer(now, answer);
                 self.check_own_record(now);
                 changes
@@ -546,26 +427,6 @@
         self.handle_answer(now, Purpose::Watch, answer)
     }
 
-    /// Writes this node's record again if a later revision is not its own: a lost write
-    /// took effect late, perhaps under a lease that nobody renews any more.
-    fn detect_late_write(&mut self, now: Time, answer: &Answer) {
-        let key = record_key(&self.me.instance);
-        let revision = match answer {
-            Answer::Listing { entries, .. } => entries.iter().find(|entry| entry.key == key),
-            Answer::Changes { changes, .. } => {
-                let own = changes.iter().filter(|change| change.key == key);
-                own.filter_map(|change| change.entry.as_ref()).next_back()
-            }
-            _ => None,
-        };
-        let registration = &mut self.registration;
-        let is_later = revision.is_some_and(|entry| entry.revision > registration.stored_revision);
-        if is_later && registration.stored.is_some() && !registration.task.in_flight {
-            registration.stored = None;
-            self.schedule_registration(now);
-        }
-    }
-
     /// Writes this node's record again if the other nodes no longer see it: a lost
     /// write of an earlier incarnation may have taken effect late and overwritten
     /// it, or the lease may have expired.
@@ -574,10 +435,6 @@
         let overwritten = std::mem::take(&mut self.listing.overwritten);
         let overwritten = overwritten.contains(me);
         let lapsed = self.listing.lapsed_at.contains_key(me);
-        if lapsed {
-            // The other nodes saw a gap.
-            self.registration.member_since = None;
-        }
         if (overwritten || lapsed) && self.registration.stored.is_some() {
             self.registration.stored = None;
             self.schedule_registration(now);
@@ -586,9 +443,8 @@
 }
 
 /// The incarnation in the store's record of an instance, and the revision of the record;
-/// `None` if there is no record, or no answer of the store within
-/// [`PREVIOUS_RECORD_TIMEOUT`]. The record may be some seconds old, which matters only if
-/// the clock went backwards in these too.
+/// `None` if there is no record, or no answer of the store within [`PREVIOUS_RECORD_TIMEOUT`]. The record may
+/// be some seconds old, which matters only if the clock went backwards in these too.
 ///
 /// Guards against a wall clock that goes backwards between two incarnations of a
 /// node. The new incarnation would then be the lower one: the other nodes would
@@ -614,24 +470,6 @@
     Call::changes(RECORD_PREFIX, after, WATCH_TIMEOUT)
 }
 
-/// The call that removes the record of a node which no longer asks for the lease on
-/// which its record depends.
-pub fn removal_call(instance: &Instance, revision: Revision) -> Call {
-    Call::Swap {
-        key: record_key(instance),
-        expect: revision,
-        value: None,
-        lease: None,
-    }
-}
-
-/// The member whose record this is, if the record depends on `lease`.
-pub fn member_under_lease(entry: &Entry, lease: Lease) -> Option<Instance> {
-    let name = entry.key.strip_prefix(RECORD_PREFIX)?;
-    let record: RecordLease = serde_json::from_str(&entry.value).ok()?;
-    (record.lease == lease).then(|| name.parse().ok())?
-}
-
 fn record_key(instance: &Instance) -> String {
     format!("{RECORD_PREFIX}{instance}")
 }
--- a/src/process/feed.rs
+++ b/src/process/feed.rs
@@ -52,7 +52,6 @@
     },
     id::{
         Instance,
-        Lease,
         Revision, //
     },
     store::{
@@ -76,9 +75,6 @@
 const MAX_WATCHER_AGE: Span = Span::from_ms(2500);
 /// How long a node keeps watching the store after the last question.
 const WATCH_IDLE_TIMEOUT: Span = Span::from_secs(3);
-/// How long a node may rely on a lease after it was told of a renewal, with some time
-/// for a message under way. Its own count ends earlier.
-const OFFER_VALIDITY: Span = Span::from_secs(5);
 /// Answers with values of more bytes than this are compressed.
 const COMPRESSION_THRESHOLD: usize = 4 << 10;
 /// Maximum size of an answer that arrives compressed.
@@ -118,24 +114,11 @@
         /// The watcher that the answering node asks; `None` if it watches the store.
         #[serde(default)]
         source: Option<Instance>,
-        /// A lease under which the asker may write its record.
-        #[serde(default)]
-        lease: Option<RenewedLease>,
         /// News by topic. A topic of which the watcher has no data is omitted.
         news: BTreeMap<Topic, News>,
     },
 }
 
-/// A lease that the answering node renews. With each reply the asker may rely on it for
-/// a while longer.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct RenewedLease {
-    /// The lease.
-    pub lease: Lease,
-    /// Time since the last successful renewal was sent.
-    pub age: Span,
-}
-
 /// A watcher's news on one topic.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct News {
@@ -355,12 +338,6 @@
     held: Vec<HeldQuestion>,
     last_question_at: Option<Time>,
     source: Option<Instance>,
-    /// The lease that this node renews, and when the last renewal was sent.
-    lease: Option<(Lease, Time)>,
-    /// When each node was last told to rely on that lease.
-    offered_at: BTreeMap<Instance, Time>,
-    /// Since when a record has depended on that lease without its node asking for it.
-    unclaimed: BTreeMap<Instance, (Revision, Time)>,
 }
 
 impl Watcher {
@@ -375,53 +352,6 @@
             .is_some_and(|at| now.since(at) < WATCH_IDLE_TIMEOUT)
     }
 
-    /// Sets the lease that this node renews, with the time of the last renewal.
-    pub fn set_lease(&mut self, lease: Option<(Lease, Time)>) {
-        let id = |lease: &Option<(Lease, Time)>| lease.map(|(lease, _)| lease);
-        if id(&lease) != id(&self.lease) {
-            self.offered_at.clear();
-            self.unclaimed.clear();
-        }
-        self.lease = lease;
-    }
-
-    /// The members whose record depends on the lease of this node although they have
-    /// not asked for it during [`OFFER_VALIDITY`], with the revision of the record.
-    /// `member` returns the member of a record that depends on a lease.
-    pub fn abandoned_records(
-        &mut self,
-        now: Time,
-        me: &Instance,
-        member: impl Fn(&Entry, Lease) -> Option<Instance>,
-    ) -> Vec<(Instance, Revision)> {
-        let (Some((lease, _)), Some(log)) = (self.lease, self.logs.get(&Topic::Members)) else {
-            return Vec::new();
-        };
-        // Records may have been written under another lease since.
-        if now.since(log.confirmed_at) > MAX_WATCHER_AGE {
-            return Vec::new();
-        }
-        let entries = log.entries.values();
-        let depending = entries.filter_map(|entry| Some((member(entry, lease)?, entry.revision)));
-        let mut unclaimed = BTreeMap::new();
-        let mut abandoned = Vec::new();
-        for (name, revision) in depending.filter(|(name, _)| name != me) {
-            let known = self
-                .unclaimed
-                .get(&name)
-                .filter(|(known, _)| *known == revision);
-            let since = known.map_or(now, |(_, since)| *since);
-            let offered_at = self.offered_at.get(&name).copied().unwrap_or(Time::ZERO);
-            if now.since(since.max(offered_at)) >= OFFER_VALIDITY {
-                abandoned.push((name, revision));
-            } else {
-                unclaimed.insert(name, (revision, since));
-            }
-        }
-        self.unclaimed = unclaimed;
-        abandoned
-    }
-
     /// Whether this node has data on a topic to which changes can be appended.
     pub fn has_topic(&self, topic: Topic) -> bool {
         self.logs.get(&topic).is_some_and(|log| log.is_contiguous)
@@ -517,13 +447,8 @@
                 number: held.number,
                 held: now.since(held.received_at),
                 source: self.source.clone(),
-                lease: self.lease.map(|(lease, renewed_at)| RenewedLease {
-                    lease,
-                    age: now.since(renewed_at),
-                }),
                 news,
             };
-            self.offered_at.insert(held.from.clone(), now);
             replies.push((held.from, message));
         }
         replies
@@ -638,21 +563,6 @@
         })
     }
 
-    /// When the lease in a reply to the open question was renewed, by this node's clock,
-    /// and the node that renewed it.
-    pub fn renewal_time(
-        &self,
-        now: Time,
-        number: u64,
-        held: Span,
-        lease: RenewedLease,
-    ) -> Option<(Instance, Time)> {
-        let open = self.open.as_ref().filter(|open| open.number == number)?;
-        let answered = (open.sent_at + held).min(now);
-        let age = lease.age.as_ms().min(answered.as_ms());
-        Some((open.to.clone(), Time::from_ms(answered.as_ms() - age)))
-    }
-
     /// Handles a reply. A watcher that has no data, or only stale data, on one of the
     /// topics is backed off.
     pub fn handle_reply(
--- a/src/process/node/listed.rs
+++ b/src/process/node/listed.rs
@@ -55,8 +55,6 @@
 
 /// Interval at which the state derived from the members is recomputed.
 const REFRESH_INTERVAL: Span = Span::from_ms(100);
-/// Interval at which a watcher looks for records of nodes that are gone.
-const CLEANUP_INTERVAL: Span = Span::from_secs(1);
 /// Minimum time that a leaving node keeps serving callers: the platform checks
 /// readiness twice, one second apart, before it routes callers elsewhere.
 const MIN_DRAIN: Span = Span::from_ms(3000);
@@ -117,7 +115,6 @@
 enum PendingCall {
     Register,
     Introduce,
-    RemoveRecord,
     Follow {
         topic: Topic,
         after: Option<Revision>,
@@ -176,7 +173,6 @@
     source: FeedSource,
     unreachable: BTreeMap<Instance, Reconnect>,
     next_refresh: Time,
-    next_cleanup: Time,
     leaving_since: Option<Time>,
     deregistering_since: Option<Time>,
     is_stale: bool,
@@ -202,7 +198,6 @@
             source: FeedSource::Unknown,
             unreachable: BTreeMap::new(),
             next_refresh: Time::ZERO,
-            next_cleanup: Time::ZERO,
             leaving_since: None,
             deregistering_since: None,
             is_stale: false,
@@ -325,14 +320,7 @@
         if refresh {
             discovery.next_refresh = now + REFRESH_INTERVAL;
         }
-        let clean_up = now >= discovery.next_cleanup;
-        if clean_up {
-            discovery.next_cleanup = now + CLEANUP_INTERVAL;
-        }
         self.discovery = Some(discovery);
-        if clean_up {
-            self.remove_abandoned_records(now, out);
-        }
         self.apply_member_changes(now, removed, out);
         if refresh {
             self.refresh(now, out);
@@ -407,8 +395,7 @@
                     }
                 }
             }
-            // Another attempt follows if the record is still there.
-            Some(PendingCall::RemoveRecord) | None => {}
+            None => {}
         }
         self.discovery_tick(now, out);
     }
--- a/src/process/node/listed/inquiry.rs
+++ b/src/process/node/listed/inquiry.rs
@@ -11,10 +11,7 @@
 };
 use crate::{
     clock::Time,
-    directory::{
-        self,
-        LeaseOffer, //
-    },
+    directory,
     feed::{
         self,
         Topic, //
@@ -59,7 +56,6 @@
             discovery.source = source.clone();
         }
         discovery.watcher.set_source(peer);
-        self.share_lease(now, discovery);
         let me = &self.identity.peer.instance;
         match source {
             FeedSource::Unknown => {}
@@ -77,35 +73,6 @@
         }
     }
 
-    /// Lets other nodes rely on this node's lease while it watches the store for them.
-    fn share_lease(&mut self, now: Time, discovery: &mut Discovery) {
-        let is_watcher = discovery.source == FeedSource::Store
-            && (discovery.watcher.has_recent_questions(now)
-                || discovery.introduction.introducer_since().is_some());
-        let directory = &mut discovery.directory;
-        directory.require_own_lease(now, is_watcher);
-        let lease = directory.own_lease(now).filter(|_| is_watcher);
-        discovery.watcher.set_lease(lease);
-    }
-
-    /// Removes the records that depend on this node's lease and whose nodes are gone.
-    pub(super) fn remove_abandoned_records(&mut self, now: Time, out: &mut Vec<Action>) {
-        let Some(discovery) = &mut self.discovery else {
-            return;
-        };
-        let me = &self.identity.peer.instance;
-        let watcher = &mut discovery.watcher;
-        let abandoned = watcher.abandoned_records(now, me, directory::member_under_lease);
-        for (name, revision) in abandoned {
-            let call = directory::removal_call(&name, revision);
-            let number = self.call_store(StoreCaller::Discovery, call, out);
-            let pending = PendingCall::RemoveRecord;
-            if let Some(discovery) = &mut self.discovery {
-                discovery.pending_calls.insert(number, pending);
-            }
-        }
-    }
-
     /// Chooses where to ask for members and configuration.
     fn select_source(&mut self, now: Time, discovery: &mut Discovery) -> FeedSource {
         let introducer_since = discovery.introduction.introducer_since();
@@ -173,21 +140,9 @@
                 number,
                 held,
                 source,
-                lease,
                 news,
                 ..
             } => {
-                let renewal = lease.and_then(|lease| {
-                    let renewal = discovery.subscriber.renewal_time(now, number, held, lease);
-                    renewal.map(|(holder, confirmed_at)| LeaseOffer {
-                        holder,
-                        lease: lease.lease,
-                        confirmed_at,
-                    })
-                });
-                if let Some(offer) = renewal {
-                    discovery.directory.handle_offer(now, offer);
-                }
                 let is_first = !discovery.directory.has_listing();
                 for update in discovery.subscriber.handle_reply(now, number, held, news) {
                     self.apply_watcher_update(now, update, out);
--- a/tests/fleet/directory.rs
+++ b/tests/fleet/directory.rs
@@ -8,7 +8,6 @@
     directory::{
         Change,
         Directory,
-        LeaseOffer,
         Purpose,
         RECORD_PREFIX, //
     },
@@ -77,10 +76,10 @@
 
 impl Story {
     fn new() -> Self {
-        let now = Time::from_ms(1000);
-        let mut directory = Directory::new(peer("me", 5));
-        directory.require_own_lease(now, true);
-        Self { now, directory }
+        Self {
+            now: Time::from_ms(1000),
+            directory: Directory::new(peer("me", 5)),
+        }
     }
 
     /// The calls that are due, and members whose time is over.
@@ -278,7 +277,7 @@
     story.register();
     story.tick();
     story.answer(Purpose::Watch, listing(&[peer("me", 5)]));
-    story.now += Span::from_ms(500);
+    story.now += Span::from_secs(1);
     story.tick();
     story.answer(Purpose::Watch, gone("me"));
     let first = registering(&mut story);
@@ -317,7 +316,6 @@
     };
     let mut story = Story::new();
     story.directory = Directory::new(me);
-    story.directory.require_own_lease(story.now, true);
     if restarted {
         story.directory.replace_previous_record(Revision(6));
     }
@@ -441,131 +439,3 @@
     story.now += Span::from_ms(200);
     assert!(asks(&story.tick().0), "it does not ask again");
 }
-
-/// The lease of a watcher, renewed at `confirmed_at`.
-fn offer(confirmed_at: Time) -> LeaseOffer {
-    LeaseOffer {
-        holder: "watcher".parse().expect("a name"),
-        lease: Lease(9),
-        confirmed_at,
-    }
-}
-
-/// A story of a node that has written its record under the lease of a watcher.
-fn registered_under_offer() -> Story {
-    let mut story = Story::new();
-    story.directory.require_own_lease(story.now, false);
-    let first = registering(&mut story);
-    assert_eq!(first, None, "it waits for an offer");
-    story.directory.handle_offer(story.now, offer(story.now));
-    let Some(Call::Swap { lease, .. }) = registering(&mut story) else {
-        panic!("it is not written");
-    };
-    assert_eq!(lease, Some(Lease(9)));
-    story.answer(Purpose::Register, Answer::Swapped(Revision(3)));
-    story
-}
-
-/// Guards against a node that relies on a lease for longer than its holder lets it:
-/// the holder removes its record five seconds after the last offer.
-#[test]
-fn a_record_under_an_offered_lease_is_trusted_from_its_renewal() {
-    let mut story = registered_under_offer();
-    assert_eq!(story.directory.membership_age(story.now), Some(Span::ZERO));
-    let renewed = story.now + Span::from_ms(500);
-    story.now += Span::from_ms(1900);
-    story.directory.handle_offer(story.now, offer(renewed));
-    assert_eq!(registering(&mut story), None, "nothing to do");
-    story.now = renewed + Span::from_secs(4);
-    assert!(story.directory.membership_age(story.now).is_some());
-    story.now += Span::from_ms(1);
-    assert_eq!(story.directory.membership_age(story.now), None);
-}
-
-/// Guards against a record that lapses with its holder's lease while another is
-/// offered, and against a gap in the membership on the way.
-#[test]
-fn a_record_moves_to_another_lease_in_time() {
-    let mut story = registered_under_offer();
-    let begun = story.now;
-    story.now += Span::from_ms(2600);
-    let other = LeaseOffer {
-        holder: "second".parse().expect("a name"),
-        lease: Lease(11),
-        confirmed_at: story.now,
-    };
-    story.directory.handle_offer(story.now, other);
-    let moved = registering(&mut story);
-    let Some(Call::Put { lease, .. }) = moved else {
-        panic!("{moved:?}");
-    };
-    assert_eq!(lease, Some(Lease(11)));
-    story.answer(Purpose::Register, Answer::Swapped(Revision(4)));
-    let age = story.directory.membership_age(story.now);
-    assert_eq!(age, Some(story.now.since(begun)));
-}
-
-/// Guards against a node without a record because nobody offers a lease any more.
-#[test]
-fn a_node_that_is_offered_nothing_creates_a_lease() {
-    let mut story = registered_under_offer();
-    story.now += Span::from_ms(2600);
-    let next = registering(&mut story);
-    assert!(matches!(next, Some(Call::Grant { .. })), "{next:?}");
-    let mut newcomer = Story::new();
-    newcomer.directory.require_own_lease(newcomer.now, false);
-    assert_eq!(registering(&mut newcomer), None);
-    newcomer.now += Span::from_secs(3);
-    let next = registering(&mut newcomer);
-    assert!(matches!(next, Some(Call::Grant { .. })), "{next:?}");
-}
-
-/// Guards against a holder that takes the records of others away with its own.
-#[test]
-fn a_node_that_leaves_ends_no_lease() {
-    let mut story = Story::new();
-    story.register();
-    story.directory.leave(story.now);
-    let last = registering(&mut story);
-    let Some(Call::Swap { expect, value, .. }) = last else {
-        panic!("{last:?}");
-    };
-    assert_eq!((expect, value), (Revision(3), None));
-    story.answer(Purpose::Register, Answer::Swapped(Revision(5)));
-    assert!(story.directory.has_left());
-}
-
-/// Guards against a node that goes on minting although its record was removed: the others
-/// have chosen another one in its place.
-#[test]
-fn a_record_that_was_removed_begins_a_new_membership() {
-    let mut story = registered_under_offer();
-    story.tick();
-    story.answer(Purpose::Watch, listing(&[peer("me", 5)]));
-    story.now += Span::from_secs(1);
-    story.directory.handle_offer(story.now, offer(story.now));
-    story.tick();
-    story.answer(Purpose::Watch, gone("me"));
-    assert_eq!(story.directory.membership_age(story.now), None);
-    let again = registering(&mut story);
-    assert!(matches!(again, Some(Call::Put { .. })), "{again:?}");
-    story.answer(Purpose::Register, Answer::Swapped(Revision(12)));
-    assert_eq!(story.directory.membership_age(story.now), Some(Span::ZERO));
-}
-
-/// Guards against a lost write that takes effect after its node has moved to another
-/// lease, and leaves the record under one that nobody renews.
-#[test]
-fn a_late_write_of_this_life_is_mended() {
-    let mut story = registered_under_offer();
-    story.tick();
-    let mut late = entry(&peer("me", 5));
-    late.revision = Revision(8);
-    let answer = Answer::Listing {
-        entries: vec![late],
-        at: Revision(9),
-    };
-    story.answer(Purpose::Watch, answer);
-    let again = registering(&mut story);
-    assert!(matches!(again, Some(Call::Put { .. })), "{again:?}");
-}
--- a/tests/fleet/feed.rs
+++ b/tests/fleet/feed.rs
@@ -17,7 +17,6 @@
     },
     id::{
         Instance,
-        Lease,
         Revision, //
     },
     store::{
@@ -417,61 +416,3 @@
     let heard = pair.hear();
     assert_eq!(heard[0].answer, removed("evacuate/north", 7));
 }
-
-const LEASE: Lease = Lease(7);
-
-/// A record that depends on the watcher's lease.
-fn member(entry: &Entry, lease: Lease) -> Option<Instance> {
-    (lease == LEASE).then(|| name(&entry.key))
-}
-
-fn abandoned(pair: &mut Pair) -> Vec<(Instance, Revision)> {
-    let now = pair.now;
-    pair.watcher.set_lease(Some((LEASE, now)));
-    pair.watcher
-        .abandoned_records(now, &name("watcher"), member)
-}
-
-/// Guards against the removal of a record whose node still relies on it.
-#[test]
-fn a_record_is_abandoned_five_seconds_after_the_last_offer() {
-    let mut pair = Pair::new();
-    pair.store(None, &listing(&["asker", "watcher"], 5));
-    pair.watcher.set_lease(Some((LEASE, pair.now)));
-    for _ in 0..10 {
-        pair.ask(Some(5));
-        pair.now += Span::from_secs(1);
-        pair.store(Some(5), &quiet(5));
-        assert_eq!(pair.hear().len(), 1);
-        assert_eq!(abandoned(&mut pair), []);
-    }
-    pair.now += Span::from_ms(4900);
-    pair.store(Some(5), &quiet(5));
-    assert_eq!(abandoned(&mut pair), []);
-    pair.now += Span::from_ms(100);
-    assert_eq!(abandoned(&mut pair), [(name("asker"), Revision(5))]);
-}
-
-/// Guards against a watcher that was paused, and removes by what it knew before.
-#[test]
-fn a_watcher_with_an_old_view_removes_nothing() {
-    let mut pair = Pair::new();
-    pair.store(None, &listing(&["asker"], 5));
-    assert_eq!(abandoned(&mut pair), []);
-    pair.now += Span::from_secs(10);
-    assert_eq!(abandoned(&mut pair), []);
-    pair.store(Some(5), &changed("asker", 8));
-    assert_eq!(abandoned(&mut pair), [], "it was written anew");
-}
-
-/// Guards against a watcher with a new lease that counts from offers of the former.
-#[test]
-fn a_new_lease_begins_to_count_anew() {
-    let mut pair = Pair::new();
-    pair.store(None, &listing(&["asker"], 5));
-    pair.watcher.set_lease(Some((Lease(6), pair.now)));
-    pair.ask(Some(5));
-    pair.now += Span::from_secs(6);
-    pair.store(Some(5), &quiet(5));
-    assert_eq!(abandoned(&mut pair), []);
-}
