Repeat a connection request to a machine that is just starting

Cause: after all machines had lost power, nodes asked an introducer that came up 0.1 to 0.3 s after them.

Change: another connection is attempted every 400 ms beside the first, until one opens.

No test: a lost request cannot be played on loopback.

--- a/src/connection/link.rs
+++ b/src/connection/link.rs
@@ -19,7 +19,8 @@
 use bytes::Bytes;
 use futures_util::{
     SinkExt,
-    StreamExt, //
+    StreamExt,
+    stream::FuturesUnordered, //
 };
 use rand::Rng;
 use serde::{
@@ -66,6 +67,9 @@
 
 /// Time limit for dialing and authenticating a link.
 pub(crate) const HANDSHAKE_TIMEOUT: Span = Span::from_secs(2);
+/// Time after which another connection to the same address is attempted. It exceeds a
+/// round trip between distant regions.
+const CONNECT_ATTEMPT_INTERVAL: Span = Span::from_ms(400);
 
 /// Most queued frames added to a write before the socket is flushed.
 const FLUSH_BATCH: usize = 64;
@@ -166,6 +170,19 @@
     .await
 }
 
+/// Connects to an address. A machine that is just starting loses the first request, which
+/// the system repeats only after a second, so others are sent meanwhile.
+async fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
+    let mut attempts = FuturesUnordered::new();
+    loop {
+        attempts.push(TcpStream::connect(address));
+        tokio::select! {
+            Some(outcome) = attempts.next() => return outcome,
+            () = tokio::time::sleep(CONNECT_ATTEMPT_INTERVAL.to_std()) => {}
+        }
+    }
+}
+
 /// Dials a peer and authenticates the link.
 ///
 /// # Errors
@@ -177,7 +194,7 @@
     peer: &id::Instance,
     ring: &Ring,
 ) -> Result<Socket> {
-    let stream = TcpStream::connect(address).await?;
+    let stream = connect(address).await?;
     socket::configure(&stream)?;
     let url = format!("ws://{address}/link");
     let (mut socket, _) =
