Log why a node leaves its watcher, and whose word a version comes from

A watcher did not log that its own call about a topic failed unless that was the first failure of any call.

New lines, each at most once per change of state: a watcher is abandoned, a watch of the store failed; fields in 'a configuration is in force'; counters watcher_abandoned and watch_failed. No decision changes.

--- a/src/process/carrier.rs
+++ b/src/process/carrier.rs
@@ -671,9 +671,15 @@
 
 fn log_event(event: &LogEvent) {
     match event {
-        LogEvent::ConfigAdopted(version) => {
-            log::info!(version = version.0; "a configuration is in force")
-        }
+        LogEvent::ConfigAdopted {
+            version,
+            age,
+            watcher,
+        } => log::info!(
+            version = version.0, age_ms = millis_or_minus_one(*age),
+            watcher = watcher.as_ref().map_or("", id::Instance::as_str);
+            "a configuration is in force"
+        ),
         LogEvent::ConfigUnusable(reason) => {
             log::warn!(reason = reason.as_str(); "a configuration is unusable")
         }
@@ -699,16 +705,35 @@
         }
         LogEvent::Evacuated { domain, order, age } => log::info!(
             evacuated:% = domain, in_force = order.in_force, revision = order.revision.0,
-            age_ms = age.map_or(-1, |age| age.as_ms() as i64);
+            age_ms = millis_or_minus_one(*age);
             "an operator's order on a failure domain"
         ),
         LogEvent::StoreSource(Some(name)) => {
             log::info!(peer:% = name; "the store is heard from a watcher")
         }
         LogEvent::StoreSource(None) => log::info!("the store is asked directly"),
+        LogEvent::WatcherAbandoned(abandonment) => log::warn!(
+            peer:% = abandonment.watcher, reason:? = abandonment.reason,
+            waited_ms = abandonment.waited.as_ms(),
+            age_ms = millis_or_minus_one(abandonment.age);
+            "a watcher is abandoned"
+        ),
+        LogEvent::WatchFailed {
+            topic,
+            waited,
+            watching,
+        } => log::warn!(
+            topic:? = topic, waited_ms = waited.as_ms(), watching = *watching;
+            "a watch of the store failed"
+        ),
     }
 }
 
+/// The value of an optional duration in the log.
+fn millis_or_minus_one(span: Option<Span>) -> i64 {
+    span.map_or(-1, |span| span.as_ms() as i64)
+}
+
 fn log_warmup(status: warmup::Status) {
     let now = Clock.now();
     match status {
--- a/src/process/feed.rs
+++ b/src/process/feed.rs
@@ -83,7 +83,7 @@
 const MAX_BATCHES: usize = 128;
 
 /// A part of the store that is watched.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Topic {
     /// The member records.
     Members,
@@ -464,12 +464,39 @@
     topic_count: usize,
 }
 
+/// Why a node turned away from a watcher.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Reason {
+    /// It did not answer in time.
+    Timeout,
+    /// The link to it broke.
+    Unreachable,
+    /// It had no data on a topic, or data that could not be read.
+    NoData,
+    /// Its data was too old.
+    Stale,
+}
+
+/// A watcher that this node turned away from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Abandonment {
+    /// The watcher.
+    pub watcher: Instance,
+    /// The reason.
+    pub reason: Reason,
+    /// Time since the question was sent.
+    pub waited: Span,
+    /// Age of the oldest data in the reply, if there was a reply.
+    pub age: Option<Span>,
+}
+
 /// Asks watchers on behalf of this node.
 #[derive(Clone, Debug, Default)]
 pub struct Subscriber {
     requested: BTreeMap<Topic, Option<Revision>>,
     open: Option<OpenQuestion>,
     backoff_since: BTreeMap<Instance, Time>,
+    abandoned: Vec<Abandonment>,
     next_number: u64,
 }
 
@@ -527,14 +554,29 @@
         let Some(open) = self.open.take_if(has_timed_out) else {
             return false;
         };
-        self.backoff_since.insert(open.to, now);
+        self.abandon(now, open, Reason::Timeout, None);
         true
     }
 
+    fn abandon(&mut self, now: Time, open: OpenQuestion, reason: Reason, age: Option<Span>) {
+        self.backoff_since.insert(open.to.clone(), now);
+        self.abandoned.push(Abandonment {
+            watcher: open.to,
+            reason,
+            waited: now.since(open.sent_at),
+            age,
+        });
+    }
+
+    /// Returns the watchers that were abandoned since the last call.
+    pub fn take_abandoned(&mut self) -> Vec<Abandonment> {
+        std::mem::take(&mut self.abandoned)
+    }
+
     /// Handles a peer that cannot be reached.
     pub fn peer_unreachable(&mut self, now: Time, peer: &Instance) {
-        if self.open.take_if(|open| open.to == *peer).is_some() {
-            self.backoff_since.insert(peer.clone(), now);
+        if let Some(open) = self.open.take_if(|open| open.to == *peer) {
+            self.abandon(now, open, Reason::Unreachable, None);
         }
     }
 
@@ -576,13 +618,13 @@
             return Vec::new();
         };
         let mut updates = Vec::new();
-        let mut is_degraded = news.len() < open.topic_count;
+        let mut lacks_data = news.len() < open.topic_count;
+        let oldest = news.values().map(|news| news.age).max();
         for (topic, news) in news {
-            is_degraded |= news.age > MAX_WATCHER_AGE;
             let answered = (open.sent_at + held).min(now);
             let age = news.age.as_ms().min(answered.as_ms());
             let Ok(answer) = news.into_answer() else {
-                is_degraded = true;
+                lacks_data = true;
                 continue;
             };
             if let Some(after) = self.requested.remove(&topic) {
@@ -594,8 +636,10 @@
                 });
             }
         }
-        if is_degraded {
-            self.backoff_since.insert(open.to, now);
+        if lacks_data {
+            self.abandon(now, open, Reason::NoData, oldest);
+        } else if oldest.is_some_and(|age| age > MAX_WATCHER_AGE) {
+            self.abandon(now, open, Reason::Stale, oldest);
         }
         updates
     }
--- a/src/process/metric.rs
+++ b/src/process/metric.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     code::Code,
+    feed,
     retry::Reason, //
 };
 
@@ -55,6 +56,10 @@
     Stale,
     /// Configuration documents rejected because they could not be read.
     Invalid,
+    /// Watchers that this node turned away from, by reason.
+    WatcherAbandoned(feed::Reason),
+    /// Calls to the store for members or configuration that failed.
+    WatchFailed(feed::Topic),
     /// Frames or links of peers that failed to authenticate with the fleet secret.
     Unauthenticated,
     /// Datagrams dropped because of a wrong authentication tag or malformed content.
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -33,6 +33,7 @@
     context::Context,
     document,
     event::Load,
+    feed,
     frame::{
         Frame,
         Whole, //
@@ -73,7 +74,14 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum LogEvent {
     /// This version of the configuration took effect.
-    ConfigAdopted(id::Version),
+    ConfigAdopted {
+        /// The version.
+        version: id::Version,
+        /// The time since the store certainly had this version as its newest.
+        age: Option<Span>,
+        /// The watcher that reported it, or `None` if the store did.
+        watcher: Option<id::Instance>,
+    },
     /// A configuration in the store was rejected, for this reason.
     ConfigUnusable(String),
     /// The last confirmation by the store became too old to accept API keys, or
@@ -110,6 +118,17 @@
     /// Store contents are now read through this watcher, or from the store
     /// directly if `None`.
     StoreSource(Option<id::Instance>),
+    /// This node turned away from a watcher.
+    WatcherAbandoned(feed::Abandonment),
+    /// The first call of a series to the store about a topic that failed.
+    WatchFailed {
+        /// The topic.
+        topic: feed::Topic,
+        /// Time since the call was sent.
+        waited: Span,
+        /// Whether other nodes rely on this node to watch the store.
+        watching: bool,
+    },
 }
 
 /// A node's own member record and random seed.
--- a/src/process/node/listed.rs
+++ b/src/process/node/listed.rs
@@ -4,7 +4,10 @@
 mod inquiry;
 mod tokens;
 
-use std::collections::BTreeMap;
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 
 use super::{
     Action,
@@ -161,6 +164,8 @@
     /// The introducer that was added to the members, and when.
     unlisted_introducer: Option<(Instance, Time)>,
     pending_calls: BTreeMap<u64, PendingCall>,
+    /// Topics on which the last call to the store failed.
+    failing_topics: BTreeSet<Topic>,
     watcher: Watcher,
     subscriber: Subscriber,
     /// The watchers of this domain, highest rank first.
@@ -191,6 +196,7 @@
             introduction: Introduction::new(self.identity.peer.clone()),
             unlisted_introducer: None,
             pending_calls: BTreeMap::new(),
+            failing_topics: BTreeSet::new(),
             watcher: Watcher::default(),
             subscriber: Subscriber::default(),
             watchers: Vec::new(),
@@ -373,6 +379,10 @@
             }
             Some(PendingCall::Introduce) => discovery.introduction.handle_answer(now, answer),
             Some(PendingCall::Follow { topic, after, sent }) => {
+                self.log_watch_outcome(now, topic, sent, &answer, out);
+                let Some(discovery) = &mut self.discovery else {
+                    return;
+                };
                 discovery.watcher.record_answer(topic, sent, after, &answer);
                 match topic {
                     Topic::Members => {
@@ -384,7 +394,7 @@
                     }
                     Topic::Configuration => {
                         let news = discovery.follower.answer(now, answer);
-                        self.handle_config_update(now, news, out);
+                        self.handle_config_update(now, news, None, out);
                     }
                 }
             }
@@ -393,10 +403,43 @@
         self.discovery_tick(now, out);
     }
 
-    fn handle_config_update(&mut self, now: Time, news: Update, out: &mut Vec<Action>) {
+    /// Logs the first failure after a success of the calls about a topic.
+    fn log_watch_outcome(
+        &mut self,
+        now: Time,
+        topic: Topic,
+        sent: Time,
+        answer: &store::Answer,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(discovery) = &mut self.discovery else {
+            return;
+        };
+        if *answer != store::Answer::Lost {
+            discovery.failing_topics.remove(&topic);
+            return;
+        }
+        self.counts.add(Counter::WatchFailed(topic));
+        if discovery.failing_topics.insert(topic) {
+            out.push(Action::Log(LogEvent::WatchFailed {
+                topic,
+                waited: now.since(sent),
+                watching: discovery.watcher.has_recent_questions(now),
+            }));
+        }
+    }
+
+    /// Handles news on the configuration, from a watcher or, if `None`, the store.
+    fn handle_config_update(
+        &mut self,
+        now: Time,
+        news: Update,
+        watcher: Option<Instance>,
+        out: &mut Vec<Action>,
+    ) {
         match news {
             Update::Nothing => {}
-            Update::Newer(snapshot) => self.adopt_discovered_config(now, snapshot, out),
+            Update::Newer(snapshot) => self.adopt_discovered_config(now, snapshot, watcher, out),
             Update::Unusable(error) => {
                 self.counts.add(Counter::Invalid);
                 let reason = error.reason().to_owned();
@@ -409,10 +452,15 @@
         &mut self,
         now: Time,
         snapshot: document::Shared,
+        watcher: Option<Instance>,
         out: &mut Vec<Action>,
     ) {
         if snapshot.version != self.snapshot.version {
-            out.push(Action::Log(LogEvent::ConfigAdopted(snapshot.version)));
+            out.push(Action::Log(LogEvent::ConfigAdopted {
+                version: snapshot.version,
+                age: self.discovered_config_age(now),
+                watcher,
+            }));
             if let Some(bank) = self.quota.bank() {
                 bank.set_teams(now, &snapshot.teams.teams);
             }
--- a/src/process/node/listed/inquiry.rs
+++ b/src/process/node/listed/inquiry.rs
@@ -24,6 +24,7 @@
         Status, //
     },
     message::Message,
+    metric::Counter,
     node::{
         Action,
         Core,
@@ -44,6 +45,11 @@
         if discovery.subscriber.expire_question(now) && !discovery.directory.has_listing() {
             discovery.introduction.introducer_failed(now);
         }
+        for abandonment in discovery.subscriber.take_abandoned() {
+            let reason = abandonment.reason;
+            self.counts.add(Counter::WatcherAbandoned(reason));
+            out.push(Action::Log(LogEvent::WatcherAbandoned(abandonment)));
+        }
         let source = self.select_source(now, discovery);
         let peer = match &source {
             FeedSource::Peer(name) => Some(name.clone()),
@@ -137,15 +143,15 @@
                 after,
             } => discovery.watcher.handle_question(now, from, number, after),
             feed::Message::Reply {
+                from,
                 number,
                 held,
                 source,
                 news,
-                ..
             } => {
                 let is_first = !discovery.directory.has_listing();
                 for update in discovery.subscriber.handle_reply(now, number, held, news) {
-                    self.apply_watcher_update(now, update, out);
+                    self.apply_watcher_update(now, update, &from, out);
                 }
                 if is_first {
                     self.finish_introduction(now, source);
@@ -200,7 +206,13 @@
     }
 
     /// Applies a store update relayed by a watcher.
-    fn apply_watcher_update(&mut self, now: Time, update: feed::Update, out: &mut Vec<Action>) {
+    fn apply_watcher_update(
+        &mut self,
+        now: Time,
+        update: feed::Update,
+        watcher: &Instance,
+        out: &mut Vec<Action>,
+    ) {
         let Some(discovery) = &mut self.discovery else {
             return;
         };
@@ -221,7 +233,7 @@
                     discovery
                         .follower
                         .relayed_answer(now, update.confirmed_at, update.answer);
-                self.handle_config_update(now, news, out);
+                self.handle_config_update(now, news, Some(watcher.clone()), out);
             }
         }
     }
