Stand-in: lose the quiet watches of a node that is cut off from the store

The driver answered a watch without news when its time was over, also for a node whose calls do not reach the store. So a watcher that had been cut off seemed to hear from the store once more, and no test in virtual time could show how long its askers rely on it. Such a watch now ends as lost, a time-out later.

--- a/src/standin/driver.rs
+++ b/src/standin/driver.rs
@@ -587,8 +587,12 @@
                 };
                 let over: Vec<_> = self.watches.extract_if(.., is_over).collect();
                 for (_, _, _, call) in over {
-                    let answer = Event::StoreAnswer(number, call.timed_out());
-                    self.push(self.now, What::Node(node, life, Box::new(answer)));
+                    let (after, answer) = match self.reaches_store(node) {
+                        true => (Span::ZERO, call.timed_out()),
+                        false => (STORE_TIMEOUT, store::Answer::Lost),
+                    };
+                    let event = Event::StoreAnswer(number, answer);
+                    self.push(self.now + after, What::Node(node, life, Box::new(event)));
                 }
             }
             What::Served { node, request } => self.served(node, request),
--- a/src/standin/driver/net.rs
+++ b/src/standin/driver/net.rs
@@ -169,12 +169,17 @@
         }
     }
 
+    /// Whether calls of a node reach the store.
+    pub(super) fn reaches_store(&self, node: usize) -> bool {
+        !self.weather.out && !self.unreached.contains(&node)
+    }
+
     pub(super) fn asked(&mut self, node: usize, life: u64, number: u64, call: store::Call) {
         let reply = |driver: &mut Self, after: Span, answer: store::Answer| {
             let event = Box::new(Event::StoreAnswer(number, answer));
             driver.push(driver.now + after, What::Node(node, life, event));
         };
-        if self.weather.out || self.unreached.contains(&node) {
+        if !self.reaches_store(node) {
             return reply(self, STORE_TIMEOUT, store::Answer::Lost);
         }
         match self.store.on(self.now, &call) {
@@ -222,7 +227,7 @@
         for (node, life, number, call) in std::mem::take(&mut self.watches) {
             let news = self.store.waited(&call);
             match news {
-                Some(_) if self.weather.out || self.unreached.contains(&node) => {
+                Some(_) if !self.reaches_store(node) => {
                     let lost = Box::new(Event::StoreAnswer(number, store::Answer::Lost));
                     self.push(self.now + STORE_TIMEOUT, What::Node(node, life, lost));
                 }
