Failing tests: a confirmed change is in force within the operators' bound

Groups of one to three of the four nodes of a domain are cut from the store, frozen, or both, 30 ms before a change of the configuration or of the members, at 72 phases of the calls that wait in the store. The others must have it in force after 2 s, the operators' bound.

--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -19,6 +19,8 @@
 mod introducer;
 #[path = "fleet/membership.rs"]
 mod membership;
+#[path = "fleet/propagation.rs"]
+mod propagation;
 #[path = "fleet/site.rs"]
 mod site;
 #[path = "fleet/size.rs"]
--- /dev/null
+++ b/tests/fleet/propagation.rs
@@ -0,0 +1,281 @@
+//! The time within which a change in the store is in force at every node that reaches
+//! the store, whatever happens to the nodes that it hears from.
+
+use bluebellswitch::{
+    Result,
+    clock::{
+        Span,
+        Time, //
+    },
+    document::Snapshot,
+    id::{
+        Incarnation,
+        Instance,
+        Version, //
+    },
+    interface::Source,
+    member::{
+        Peer,
+        Status, //
+    },
+    node::{
+        Bounds,
+        Core, //
+    },
+    standin::driver::{
+        Driver,
+        Net,
+        Service,
+        Setup, //
+    },
+    store::Call,
+};
+
+const KEY: &str = "operators/configuration";
+const MEMBERS: &str = "bluebellswitch/nodes/";
+/// The operators' bound on changes of routes and of members.
+const BOUND: Span = Span::from_ms(2000);
+/// How long a node must have been undisturbed before the bound holds for it.
+const CONTACT: Span = Span::from_ms(3000);
+/// Nodes in each failure domain. Those of the first are the lowest numbers.
+const DOMAIN_SIZE: usize = 4;
+/// Least time between the end of a disturbance and the next one.
+const RECOVERY: Span = Span::from_secs(6);
+/// Step by which this time varies, so that changes meet every phase of the calls that
+/// wait in the store.
+const PHASE_STEP_MS: u64 = 70;
+/// Number of disturbances in each test.
+const ROUNDS: usize = 72;
+
+fn read(text: &str) -> Result<Snapshot> {
+    Ok(Snapshot {
+        version: text.parse::<Version>()?,
+        ..Snapshot::default()
+    })
+}
+
+fn discover(core: &mut Core) {
+    let source = Source {
+        prefix: KEY,
+        key: KEY,
+        evacuated: |_| None,
+        read,
+    };
+    core.enable_store_discovery(source, Bounds::default());
+}
+
+/// What happens to some nodes.
+#[derive(Clone, Copy, Debug)]
+enum Trouble {
+    /// They do not reach the store, and notice it by time-outs alone.
+    Cut,
+    /// They stand still.
+    Frozen,
+    /// The first is cut from the store, the others stand still.
+    CutAndFrozen,
+}
+
+/// What is written to the store.
+#[derive(Clone, Copy, Debug)]
+enum Written {
+    Configuration,
+    Member,
+}
+
+struct Fleet {
+    driver: Driver,
+    version: u64,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let driver = Driver::new(Setup {
+            seed: 7,
+            domains: vec!["a", "b", "c"],
+            services: vec![Service {
+                pool: "registry".parse().expect("a name"),
+                instances: vec![DOMAIN_SIZE; 3],
+                slots: 50,
+                work: Span::from_ms(5),
+                nested: vec![],
+            }],
+            snapshot: None,
+            acquainted: false,
+            net: Net {
+                near: Span::from_ms(0),
+                far: Span::from_ms(1),
+                jitter: Span::from_ms(1),
+                loss: 0.0,
+                double: 0.0,
+                cross: 0.0,
+                silent: true,
+            },
+            spy: false,
+            prepare: Box::new(discover),
+        });
+        let mut fleet = Self { driver, version: 0 };
+        fleet.write(Written::Configuration);
+        fleet.driver.run_for(Span::from_secs(10));
+        fleet
+    }
+
+    fn put(&mut self, key: String, value: String) {
+        let now = self.driver.now();
+        let call = Call::Put {
+            key,
+            value,
+            lease: None,
+        };
+        self.driver.store.on(now, &call);
+        self.driver.notify();
+    }
+
+    fn newcomer(&self) -> Instance {
+        format!("newcomer-{}", self.version)
+            .parse()
+            .expect("a name")
+    }
+
+    /// Writes a change to the store; the store has then acknowledged it.
+    fn write(&mut self, written: Written) {
+        self.version += 1;
+        match written {
+            Written::Configuration => self.put(KEY.to_owned(), self.version.to_string()),
+            Written::Member => {
+                let address = "10.9.9.9:7000".parse().expect("an address");
+                let peer = Peer {
+                    instance: self.newcomer(),
+                    domain: "c".parse().expect("a name"),
+                    pool: "registry".parse().expect("a name"),
+                    link: address,
+                    datagram: address,
+                    incarnation: Incarnation(1),
+                    status: Status::Alive,
+                    ready: true,
+                };
+                let value = serde_json::to_string(&peer).expect("a record");
+                self.put(format!("{MEMBERS}{}", peer.instance), value);
+            }
+        }
+    }
+
+    fn is_in_force(&mut self, written: Written, node: usize) -> bool {
+        let (version, newcomer) = (Version(self.version), self.newcomer());
+        let core = self.driver.core(node).expect("a living node");
+        match written {
+            Written::Configuration => core.snapshot().version == version,
+            Written::Member => core.members().get(&newcomer).is_some(),
+        }
+    }
+
+    fn disturb(&mut self, trouble: Trouble, nodes: &[usize]) {
+        for (rank, node) in nodes.iter().enumerate() {
+            match (trouble, rank) {
+                (Trouble::Cut, _) | (Trouble::CutAndFrozen, 0) => {
+                    self.driver.unreached.insert(*node);
+                }
+                _ => self.driver.pause(*node, Span::from_secs(4)),
+            }
+        }
+    }
+
+    /// Disturbs some nodes, writes a change 30 ms later, and returns the others at which
+    /// it is not in force within the bound.
+    fn late_nodes(&mut self, trouble: Trouble, nodes: &[usize], written: Written) -> Vec<usize> {
+        self.disturb(trouble, nodes);
+        self.driver.run_for(Span::from_ms(30));
+        self.write(written);
+        self.driver.run_for(BOUND);
+        let others = (0..self.driver.len()).filter(|node| !nodes.contains(node));
+        let others: Vec<_> = others.collect();
+        let late = others
+            .into_iter()
+            .filter(|node| !self.is_in_force(written, *node))
+            .collect();
+        self.driver.run_for(Span::from_secs(2));
+        self.driver.unreached.clear();
+        late
+    }
+}
+
+/// All groups of this many nodes of the first failure domain, in any order.
+fn groups(size: usize) -> Vec<Vec<usize>> {
+    let mut groups = vec![Vec::new()];
+    for _ in 0..size {
+        let extend = |group: &Vec<usize>| {
+            let rest = (0..DOMAIN_SIZE).filter(|node| !group.contains(node));
+            let group = group.clone();
+            rest.map(move |node| [group.clone(), vec![node]].concat())
+                .collect::<Vec<_>>()
+        };
+        groups = groups.iter().flat_map(extend).collect();
+    }
+    groups
+}
+
+/// Guards against a confirmed change that is in force too late, as a node keeps to those
+/// which have lost the store, or asks several that are silent one after the other.
+fn change_is_in_force_in_time(trouble: Trouble, count: usize, written: Written) {
+    let mut fleet = Fleet::new();
+    let mut late = Vec::new();
+    let groups = groups(count);
+    for round in 0..ROUNDS {
+        let group = groups[round % groups.len()].clone();
+        let phase = Span::from_ms(round as u64 * PHASE_STEP_MS % 1000);
+        fleet.driver.run_for(RECOVERY + phase);
+        let nodes = fleet.late_nodes(trouble, &group, written);
+        if !nodes.is_empty() {
+            late.push((group, nodes));
+        }
+    }
+    assert!(late.is_empty(), "late with {trouble:?}: {late:?}");
+}
+
+cases! { change_is_in_force_in_time:
+    one_is_cut_from_the_store => (Trouble::Cut, 1, Written::Configuration),
+    two_are_cut_from_the_store => (Trouble::Cut, 2, Written::Configuration),
+    three_are_cut_from_the_store => (Trouble::Cut, 3, Written::Configuration),
+    one_is_frozen => (Trouble::Frozen, 1, Written::Configuration),
+    two_are_frozen => (Trouble::Frozen, 2, Written::Configuration),
+    three_are_frozen => (Trouble::Frozen, 3, Written::Configuration),
+    one_is_cut_and_one_frozen => (Trouble::CutAndFrozen, 2, Written::Configuration),
+    one_is_cut_and_two_frozen => (Trouble::CutAndFrozen, 3, Written::Configuration),
+    a_member_joins_as_one_is_cut => (Trouble::Cut, 1, Written::Member),
+    a_member_joins_as_three_are_cut => (Trouble::Cut, 3, Written::Member),
+    a_member_joins_as_three_are_frozen => (Trouble::Frozen, 3, Written::Member),
+}
+
+/// Guards against a node that starts beside an introducer which has lost the store, and
+/// serves by the old configuration that it gets from there.
+#[test]
+fn newcomer_beside_an_introducer_without_the_store() {
+    let mut late = Vec::new();
+    for round in 0..ROUNDS {
+        let newcomer = round % DOMAIN_SIZE;
+        let phase = Span::from_ms(round as u64 * PHASE_STEP_MS % 1000);
+        let mut fleet = Fleet::new();
+        fleet.driver.run_for(phase);
+        fleet.driver.kill(newcomer);
+        let others: Vec<_> = (0..DOMAIN_SIZE).filter(|node| *node != newcomer).collect();
+        fleet.disturb(Trouble::Cut, &others);
+        fleet.driver.run_for(Span::from_ms(30));
+        fleet.write(Written::Configuration);
+        fleet.driver.restart(newcomer);
+        let started: Time = fleet.driver.now();
+        fleet.driver.run_for(CONTACT);
+        while fleet.driver.now().since(started) < Span::from_secs(8) {
+            let core = fleet.driver.core(newcomer).expect("a living node");
+            let version = core.snapshot().version;
+            if version != Version(0) && version != Version(fleet.version) {
+                late.push((newcomer, fleet.driver.now().since(started)));
+                break;
+            }
+            fleet.driver.run_for(Span::from_ms(10));
+        }
+        assert!(
+            fleet.is_in_force(Written::Configuration, newcomer),
+            "node {newcomer} has no configuration after 8 s"
+        );
+    }
+    assert!(late.is_empty(), "an older version is in force: {late:?}");
+}
