Bound the time for which a change in the store can be unknown to a node

What callers saw: after a change was confirmed, some nodes handled requests by the version before for up to 3.4 s, where operators allow 2 s.

Cause: a node left its watcher only when the watcher's word was 2.5 s old, and learnt that up to 0.4 s later; then it asked the next one, and the next, with a timeout for each, and the store last. The watcher itself noticed after 1.9 s that the store had gone. No timeout was derived from the bound, and their sum grew with the nodes that failed in a row.

Change: each node keeps the time up to which it knows all changes, and checks the store itself when three quarters of the operators' bound have passed since then, with a call that does not wait, on a connection of its own. All other timeouts are shares of the same bound and only make checks rare: watchers pass on each confirmation, waits after early answers are shorter, a node that takes over knows at once whether the store answers it. A node that lost the store waits for a cheap call to succeed, so an outage is no rush.

tests/fleet/feed.rs follows the interfaces; a watcher that has heard of one of two topics is no longer left, which a_watcher_with_old_word_is_passed_over still checks for one that has heard of none.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -49,6 +49,7 @@
     process::{
         announce,
         client,
+        contact,
         directory,
         event,
         feed,
--- a/src/process/carrier.rs
+++ b/src/process/carrier.rs
@@ -715,7 +715,7 @@
         LogEvent::WatcherAbandoned(abandonment) => log::warn!(
             peer:% = abandonment.watcher, reason:? = abandonment.reason,
             waited_ms = abandonment.waited.as_ms(),
-            age_ms = millis_or_minus_one(abandonment.age);
+            silence_ms = millis_or_minus_one(abandonment.silence);
             "a watcher is abandoned"
         ),
         LogEvent::WatchFailed {
@@ -726,6 +726,14 @@
             topic:? = topic, waited_ms = waited.as_ms(), watching = *watching;
             "a watch of the store failed"
         ),
+        LogEvent::StoreChecked {
+            topic,
+            silence,
+            outcome,
+        } => log::warn!(
+            topic:? = topic, silence_ms = millis_or_minus_one(*silence), outcome:? = outcome;
+            "the store was checked"
+        ),
     }
 }
 
--- a/src/process/directory.rs
+++ b/src/process/directory.rs
@@ -331,7 +331,10 @@
         }
         if self.listing.task.due() <= now && !self.leaving {
             self.listing.task.begin(now);
-            calls.push((Purpose::Watch, watch_call(self.listing.revision)));
+            calls.push((
+                Purpose::Watch,
+                watch_call(self.listing.revision, WATCH_TIMEOUT),
+            ));
         }
         self.listing.remove_expired(now)
     }
@@ -400,6 +403,20 @@
         self.handle_answer(now, Purpose::Watch, answer)
     }
 
+    /// Handles the answer to a call about the members that was made beside the watch, at
+    /// `sent`.
+    pub fn handle_extra(&mut self, now: Time, sent: Time, answer: Answer) -> Vec<Change> {
+        let changes = self.listing.apply(now, sent, answer);
+        self.check_own_record(now);
+        changes
+    }
+
+    /// Brings the next call of the registration forward, to learn whether the store
+    /// answers.
+    pub fn probe_store(&mut self, now: Time) {
+        self.schedule_registration(now);
+    }
+
     /// Writes this node's record again if the other nodes no longer see it: a lost
     /// write of an earlier incarnation may have taken effect late and overwritten
     /// it, or the lease may have expired.
@@ -435,8 +452,8 @@
 }
 
 /// The store call that waits for changes to the records after a revision.
-pub fn watch_call(after: Option<Revision>) -> Call {
-    Call::changes(RECORD_PREFIX, after, WATCH_TIMEOUT)
+pub fn watch_call(after: Option<Revision>, wait: Span) -> Call {
+    Call::changes(RECORD_PREFIX, after, wait)
 }
 
 fn record_key(instance: &Instance) -> String {
--- a/src/process/directory/listing.rs
+++ b/src/process/directory/listing.rs
@@ -22,12 +22,28 @@
 
 impl Listing {
     pub(super) fn handle_answer(&mut self, now: Time, answer: Answer) -> Vec<Change> {
+        let sent = self.task.sent_at;
         match answer {
-            Answer::Listing { entries, at } => {
-                let previous_view = self.viewed_at;
-                self.viewed_at = previous_view.max(Some(self.task.sent_at));
-                self.revision = Some(at);
+            Answer::Listing { .. } => self.task.succeed(now),
+            Answer::Changes { .. } => self.task.succeed(now + WATCH_SETTLE_DELAY),
+            Answer::Compacted => {
+                self.revision = None;
                 self.task.succeed(now);
+            }
+            // Asking again after the same revision misses no change. A listing in its
+            // place would add the load of the whole fleet to a store in trouble.
+            _ => self.task.fail(now),
+        }
+        self.apply(now, sent, answer)
+    }
+
+    /// Applies the entries of an answer to a call sent at `sent`.
+    pub(super) fn apply(&mut self, now: Time, sent: Time, answer: Answer) -> Vec<Change> {
+        let previous_view = self.viewed_at;
+        match answer {
+            Answer::Listing { entries, at } => {
+                self.viewed_at = previous_view.max(Some(sent));
+                self.revision = self.revision.max(Some(at));
                 let present: Vec<_> = entries
                     .iter()
                     .filter_map(|entry| parse_record(&entry.key, &entry.value))
@@ -39,10 +55,8 @@
                     .collect()
             }
             Answer::Changes { changes, at } => {
-                let previous_view = self.viewed_at;
-                self.viewed_at = previous_view.max(Some(self.task.sent_at));
-                self.revision = Some(at);
-                self.task.succeed(now + WATCH_SETTLE_DELAY);
+                self.viewed_at = previous_view.max(Some(sent));
+                self.revision = self.revision.max(Some(at));
                 let mut updates = Vec::new();
                 for change in changes {
                     match change.entry {
@@ -57,17 +71,7 @@
                 }
                 updates
             }
-            Answer::Compacted => {
-                self.revision = None;
-                self.task.succeed(now);
-                Vec::new()
-            }
-            // Asking again after the same revision misses no change. A listing in its
-            // place would add the load of the whole fleet to a store in trouble.
-            _ => {
-                self.task.fail(now);
-                Vec::new()
-            }
+            _ => Vec::new(),
         }
     }
 
--- a/src/process/feed.rs
+++ b/src/process/feed.rs
@@ -15,7 +15,10 @@
 //! call that confirms the data. The asker takes the time at which it sent its own
 //! question, adds the hold time and subtracts the age. Both are durations measured
 //! by the watcher, so no clocks are compared, and data in a delayed reply never
-//! looks more recent than it is.
+//! looks more recent than it is. The reply also carries the watcher's silence: the time
+//! for which changes may be unknown to it, which is shorter, as calls wait in the store.
+//! A watcher passes on each confirmation, so an asker notices a watcher that has died or
+//! lost the store by its own silence alone.
 
 use std::{
     collections::{
@@ -45,6 +48,7 @@
         Span,
         Time, //
     },
+    contact::Contact,
     error::{
         self,
         Error,
@@ -61,18 +65,20 @@
     },
 };
 
-/// How long a watcher holds a question for which it has no news.
+/// How long a watcher holds a question for which it has no news, if the asker does not say
+/// how long ago it heard from the store, as earlier versions do not.
 const MAX_HOLD: Span = Span::from_ms(400);
-/// Time after which an unanswered question is sent elsewhere.
-const ANSWER_TIMEOUT: Span = Span::from_ms(700);
-/// The same two for a first question, whose answer may be a listing that the other
-/// node is still waiting for.
+/// How long a watcher holds any other question. The asker has turned away before.
+const MAX_CONFIRMATION_HOLD: Span = Span::from_secs(2);
+/// Share of a wait in the store by which a confirmation has to be newer than that of the
+/// asker to be passed on at once. It exceeds the variation of delays between nodes.
+const NEWER_SHARE: f64 = 0.25;
+/// How long a first question is held, and when it is sent elsewhere. Its answer may be a
+/// listing that the other node is still waiting for.
 const MAX_FIRST_HOLD: Span = Span::from_ms(2500);
 const FIRST_ANSWER_TIMEOUT: Span = Span::from_secs(3);
 /// How long a watcher is skipped after it did not answer or had only stale data.
 const WATCHER_BACKOFF: Span = Span::from_secs(2);
-/// Age above which a watcher's data is stale.
-const MAX_WATCHER_AGE: Span = Span::from_ms(2500);
 /// How long a node keeps watching the store after the last question.
 const WATCH_IDLE_TIMEOUT: Span = Span::from_secs(3);
 /// Answers with values of more bytes than this are compressed.
@@ -102,6 +108,9 @@
         number: u64,
         /// The topics, each with the last revision that the asker has.
         after: BTreeMap<Topic, Option<Revision>>,
+        /// For each topic, the time for which the asker may not know of changes.
+        #[serde(default)]
+        silence: BTreeMap<Topic, Span>,
     },
     /// The watcher's answer to a question.
     Reply {
@@ -134,6 +143,9 @@
     packed: BTreeMap<String, ByteBuf>,
     /// Time since the store call that confirms the data was sent.
     pub age: Span,
+    /// Time for which the watcher may not know of changes. Earlier versions don't send it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub silence: Option<Span>,
 }
 
 impl News {
@@ -148,9 +160,15 @@
             compressed,
             packed: BTreeMap::new(),
             age,
+            silence: None,
         }
     }
 
+    /// Time for which the watcher may not know of changes, at most.
+    fn max_silence(&self) -> Span {
+        self.silence.unwrap_or(self.age)
+    }
+
     /// Returns the answer, of up to [`MAX_ANSWER_BYTES`] if it is compressed.
     fn into_answer(self) -> Result<Answer> {
         let Some(compressed) = self.compressed else {
@@ -199,6 +217,8 @@
     first_revision: Revision,
     revision: Revision,
     confirmed_at: Time,
+    /// All changes up to this time are known.
+    heard_at: Time,
     /// Whether changes can be appended. Otherwise the store has to be listed again.
     is_contiguous: bool,
     /// The news at this revision, by the revision that they continue from.
@@ -206,7 +226,7 @@
 }
 
 impl TopicLog {
-    fn new(entries: &[Entry], revision: Revision, confirmed_at: Time) -> Self {
+    fn new(entries: &[Entry], revision: Revision, at: Confirmation) -> Self {
         let entries = entries
             .iter()
             .map(|entry| (entry.key.clone(), entry.clone()));
@@ -215,7 +235,8 @@
             batches: VecDeque::new(),
             first_revision: revision,
             revision,
-            confirmed_at,
+            confirmed_at: at.confirmed_at,
+            heard_at: at.heard_at,
             is_contiguous: true,
             news: BTreeMap::new(),
         }
@@ -223,7 +244,7 @@
 
     /// Replaces the entries by those of a listing. What differs is appended as
     /// changes, so that nodes which know the former entries need no listing.
-    fn apply_listing(&mut self, entries: &[Entry], at: Revision, confirmed_at: Time) {
+    fn apply_listing(&mut self, entries: &[Entry], at: Revision, confirmation: Confirmation) {
         let listed: BTreeSet<_> = entries.iter().map(|entry| &entry.key).collect();
         let is_new = |entry: &&Entry| self.entries.get(&entry.key) != Some(*entry);
         let updated = entries.iter().filter(is_new).map(|entry| Change {
@@ -237,11 +258,12 @@
         });
         let changes: Vec<_> = updated.chain(removed).collect();
         self.is_contiguous = true;
-        self.apply_changes(&changes, at, confirmed_at);
+        self.apply_changes(&changes, at, confirmation);
     }
 
-    fn apply_changes(&mut self, changes: &[Change], at: Revision, confirmed_at: Time) {
-        self.confirmed_at = self.confirmed_at.max(confirmed_at);
+    fn apply_changes(&mut self, changes: &[Change], at: Revision, confirmation: Confirmation) {
+        self.confirmed_at = self.confirmed_at.max(confirmation.confirmed_at);
+        self.heard_at = self.heard_at.max(confirmation.heard_at);
         if at <= self.revision {
             return;
         }
@@ -312,20 +334,57 @@
         };
         News {
             age: now.since(self.confirmed_at),
+            silence: Some(now.since(self.heard_at)),
             ..news
         }
     }
 }
 
+/// How recent an answer is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Confirmation {
+    /// The answer was certainly correct then: when the call was sent.
+    pub confirmed_at: Time,
+    /// The answer includes all changes up to then, unless the store withheld them from a
+    /// call that waited.
+    pub heard_at: Time,
+}
+
+impl Confirmation {
+    /// A confirmation by a call that did not wait, sent at this time.
+    pub const fn at(sent: Time) -> Self {
+        Self {
+            confirmed_at: sent,
+            heard_at: sent,
+        }
+    }
+}
+
 /// A question that is held until there is news.
 #[derive(Clone, Debug)]
 struct HeldQuestion {
     from: Instance,
     number: u64,
     after: BTreeMap<Topic, Option<Revision>>,
+    silence: BTreeMap<Topic, Span>,
     received_at: Time,
 }
 
+impl HeldQuestion {
+    /// Whether the store was heard from more recently than the asker heard from it.
+    fn is_confirmed_by(&self, topic: Topic, log: &TopicLog, newer: Span) -> bool {
+        let silence = self.silence.get(&topic);
+        silence.is_some_and(|silence| log.heard_at + *silence > self.received_at + newer)
+    }
+
+    fn max_hold(&self) -> Span {
+        match self.silence.is_empty() {
+            true => MAX_HOLD,
+            false => MAX_CONFIRMATION_HOLD,
+        }
+    }
+}
+
 /// Whether the asker of these topics knows nothing yet.
 fn is_first_question(after: &BTreeMap<Topic, Option<Revision>>) -> bool {
     after.values().all(Option::is_none)
@@ -357,12 +416,18 @@
         self.logs.get(&topic).is_some_and(|log| log.is_contiguous)
     }
 
+    /// The revision of a topic to which changes can be appended.
+    pub fn revision(&self, topic: Topic) -> Option<Revision> {
+        let log = self.logs.get(&topic).filter(|log| log.is_contiguous);
+        log.map(|log| log.revision)
+    }
+
     /// Records an answer of the store, or of another watcher, that asked for changes
-    /// after `after` and was certainly correct at `sent`.
+    /// after `after`.
     pub fn record_answer(
         &mut self,
         topic: Topic,
-        sent: Time,
+        sent: Confirmation,
         after: Option<Revision>,
         answer: &Answer,
     ) {
@@ -406,6 +471,7 @@
         from: Instance,
         number: u64,
         after: BTreeMap<Topic, Option<Revision>>,
+        silence: BTreeMap<Topic, Span>,
     ) {
         if !is_first_question(&after) {
             self.last_question_at = Some(now);
@@ -415,22 +481,38 @@
             from,
             number,
             after,
+            silence,
             received_at: now,
         });
     }
 
-    /// Replies to the questions for which there is news, or whose hold time is over.
-    pub fn take_replies(&mut self, now: Time, me: &Instance) -> Vec<(Instance, Message)> {
+    /// Replies to the questions for which there is news or a newer confirmation of the
+    /// store, or whose hold time is over. `wait` is that of the calls to the store.
+    pub fn take_replies(
+        &mut self,
+        now: Time,
+        wait: Span,
+        me: &Instance,
+    ) -> Vec<(Instance, Message)> {
         let logs = &mut self.logs;
+        let newer = wait.scale(NEWER_SHARE);
         let is_due = |held: &mut HeldQuestion| {
             let has_news = |(topic, after): (&Topic, &Option<Revision>)| {
                 logs.get(topic).is_some_and(|log| log.has_news(*after))
             };
+            let is_confirmed = |topic: &Topic| {
+                let log = logs.get(topic);
+                log.is_some_and(|log| held.is_confirmed_by(*topic, log, newer))
+            };
             let mut topics = held.after.iter();
             let waited = now.since(held.received_at);
             match is_first_question(&held.after) {
                 true => topics.all(has_news) || waited >= MAX_FIRST_HOLD,
-                false => topics.any(has_news) || waited >= MAX_HOLD,
+                false => {
+                    topics.any(has_news)
+                        || held.after.keys().any(is_confirmed)
+                        || waited >= held.max_hold()
+                }
             }
         };
         let due: Vec<_> = self.held.extract_if(.., is_due).collect();
@@ -460,7 +542,7 @@
     number: u64,
     to: Instance,
     sent_at: Time,
-    timeout: Span,
+    expires_at: Time,
     topic_count: usize,
 }
 
@@ -486,8 +568,8 @@
     pub reason: Reason,
     /// Time since the question was sent.
     pub waited: Span,
-    /// Age of the oldest data in the reply, if there was a reply.
-    pub age: Option<Span>,
+    /// Time for which the watcher had not heard from the store, if it replied.
+    pub silence: Option<Span>,
 }
 
 /// Asks watchers on behalf of this node.
@@ -510,8 +592,8 @@
     pub after: Option<Revision>,
     /// The equivalent store answer.
     pub answer: Answer,
-    /// When the store confirmed the answer, by this node's clock.
-    pub confirmed_at: Time,
+    /// How recent the answer is, by this node's clock.
+    pub confirmation: Confirmation,
 }
 
 impl Subscriber {
@@ -530,7 +612,7 @@
     /// When the open question times out.
     pub fn due(&self) -> Time {
         match &self.open {
-            Some(open) => open.sent_at + open.timeout,
+            Some(open) => open.expires_at,
             None => Time::NEVER,
         }
     }
@@ -550,7 +632,7 @@
 
     /// Abandons the open question if it has timed out, and returns whether it has.
     pub fn expire_question(&mut self, now: Time) -> bool {
-        let has_timed_out = |open: &mut OpenQuestion| now.since(open.sent_at) >= open.timeout;
+        let has_timed_out = |open: &mut OpenQuestion| now >= open.expires_at;
         let Some(open) = self.open.take_if(has_timed_out) else {
             return false;
         };
@@ -558,13 +640,13 @@
         true
     }
 
-    fn abandon(&mut self, now: Time, open: OpenQuestion, reason: Reason, age: Option<Span>) {
+    fn abandon(&mut self, now: Time, open: OpenQuestion, reason: Reason, silence: Option<Span>) {
         self.backoff_since.insert(open.to.clone(), now);
         self.abandoned.push(Abandonment {
             watcher: open.to,
             reason,
             waited: now.since(open.sent_at),
-            age,
+            silence,
         });
     }
 
@@ -581,48 +663,64 @@
     }
 
     /// The next question to a watcher, if any. A question about more topics replaces
-    /// the open one.
-    pub fn next_question(&mut self, now: Time, me: &Instance, to: &Instance) -> Option<Message> {
+    /// the open one. It expires when the silence on a topic has lasted too long.
+    pub fn next_question(
+        &mut self,
+        now: Time,
+        me: &Instance,
+        to: &Instance,
+        contact: &Contact,
+    ) -> Option<Message> {
         let asked_topics = self.open.as_ref().map_or(0, |open| open.topic_count);
         if self.requested.len() <= asked_topics {
             return None;
         }
         self.next_number += 1;
+        let limits = contact.limits();
+        let silent_at = contact.silent_at(self.requested.keys(), limits.watcher);
         self.open = Some(OpenQuestion {
             number: self.next_number,
             to: to.clone(),
             sent_at: now,
-            timeout: match is_first_question(&self.requested) {
-                true => FIRST_ANSWER_TIMEOUT,
-                false => ANSWER_TIMEOUT,
+            expires_at: match is_first_question(&self.requested) {
+                true => now + FIRST_ANSWER_TIMEOUT,
+                false => silent_at.unwrap_or(now).max(now + limits.answer),
             },
             topic_count: self.requested.len(),
         });
+        let silence = |topic: &Topic| Some((*topic, contact.silence(*topic, now)?));
         Some(Message::Question {
             from: me.clone(),
             number: self.next_number,
             after: self.requested.clone(),
+            silence: self.requested.keys().filter_map(silence).collect(),
         })
     }
 
-    /// Handles a reply. A watcher that has no data, or only stale data, on one of the
-    /// topics is backed off.
+    /// Handles a reply. A watcher that has no data on one of the topics, or has heard of
+    /// none of them for `max_silence`, is backed off. One that has heard of some of them
+    /// may be just taking over.
     pub fn handle_reply(
         &mut self,
         now: Time,
         number: u64,
         held: Span,
         news: BTreeMap<Topic, News>,
+        max_silence: Span,
     ) -> Vec<Update> {
         let Some(open) = self.open.take_if(|open| open.number == number) else {
             return Vec::new();
         };
         let mut updates = Vec::new();
         let mut lacks_data = news.len() < open.topic_count;
-        let oldest = news.values().map(|news| news.age).max();
+        let silence = news.values().map(News::max_silence).min();
+        let answered = (open.sent_at + held).min(now);
+        let before = |age: Span| Time::from_ms(answered.as_ms().saturating_sub(age.as_ms()));
         for (topic, news) in news {
-            let answered = (open.sent_at + held).min(now);
-            let age = news.age.as_ms().min(answered.as_ms());
+            let confirmation = Confirmation {
+                confirmed_at: before(news.age),
+                heard_at: before(news.max_silence()),
+            };
             let Ok(answer) = news.into_answer() else {
                 lacks_data = true;
                 continue;
@@ -632,14 +730,14 @@
                     topic,
                     after,
                     answer,
-                    confirmed_at: Time::from_ms(answered.as_ms() - age),
+                    confirmation,
                 });
             }
         }
         if lacks_data {
-            self.abandon(now, open, Reason::NoData, oldest);
-        } else if oldest.is_some_and(|age| age > MAX_WATCHER_AGE) {
-            self.abandon(now, open, Reason::Stale, oldest);
+            self.abandon(now, open, Reason::NoData, silence);
+        } else if silence.is_some_and(|silence| silence > max_silence) {
+            self.abandon(now, open, Reason::Stale, silence);
         }
         updates
     }
--- a/src/process/metric.rs
+++ b/src/process/metric.rs
@@ -60,6 +60,8 @@
     WatcherAbandoned(feed::Reason),
     /// Calls to the store for members or configuration that failed.
     WatchFailed(feed::Topic),
+    /// Checks of the store, by topic, after it had not been heard of for too long.
+    StoreChecked(feed::Topic),
     /// Frames or links of peers that failed to authenticate with the fleet secret.
     Unauthenticated,
     /// Datagrams dropped because of a wrong authentication tag or malformed content.
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod beside;
 pub(crate) mod carrier;
 pub mod client;
+pub mod contact;
 pub mod directory;
 pub mod event;
 pub(crate) mod export;
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -30,6 +30,7 @@
         Time, //
     },
     code::Code,
+    contact,
     context::Context,
     document,
     event::Load,
@@ -129,6 +130,15 @@
         /// Whether other nodes rely on this node to watch the store.
         watching: bool,
     },
+    /// This node asked the store itself, as it had not heard of a topic for too long.
+    StoreChecked {
+        /// The topic.
+        topic: feed::Topic,
+        /// Time for which changes could have been unknown.
+        silence: Option<Span>,
+        /// What came of it.
+        outcome: contact::Outcome,
+    },
 }
 
 /// A node's own member record and random seed.
--- a/src/process/node/listed.rs
+++ b/src/process/node/listed.rs
@@ -21,6 +21,10 @@
         Time, //
     },
     code::Code,
+    contact::{
+        self,
+        Contact, //
+    },
     directory::{
         Change,
         Directory,
@@ -28,6 +32,7 @@
     },
     document,
     feed::{
+        Confirmation,
         Subscriber,
         Topic,
         Watcher, //
@@ -76,6 +81,8 @@
     /// The node reports that it is not ready for callers once the last
     /// confirmation is older than this.
     pub unready_after: Span,
+    /// A change in the store must be in force at every node within this time.
+    pub propagation: Span,
     /// Retries allowed per first attempt at one pool, over the whole fleet.
     pub retry_ratio: f64,
     /// Retries at one pool allowed per window in addition to the ratio, over the
@@ -92,6 +99,7 @@
         Self {
             stale_after: Span::from_secs(4),
             unready_after: Span::from_secs(3),
+            propagation: Span::from_secs(2),
             retry_ratio: 0.2,
             retry_slack: 48.0,
             retry_window: Span::from_secs(10),
@@ -118,17 +126,34 @@
 enum PendingCall {
     Register,
     Introduce,
-    Follow {
-        topic: Topic,
-        after: Option<Revision>,
-        sent: Time,
-    },
+    Follow(Query),
+    Check(Query),
+}
+
+/// A call to the store about the changes of a topic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Query {
+    topic: Topic,
+    after: Option<Revision>,
+    sent: Time,
+    wait: Span,
+}
+
+impl Query {
+    /// How recent an answer is; `None` if it says nothing about changes.
+    fn confirmation(&self, now: Time, answer: &store::Answer) -> Option<Confirmation> {
+        Some(Confirmation {
+            confirmed_at: self.sent,
+            heard_at: contact::heard_at(self.sent, self.wait, now, answer)?,
+        })
+    }
 }
 
 /// Where a node gets members and configuration from.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum FeedSource {
-    /// Nowhere, until an introducer is found.
+    /// Nowhere, until an introducer is found, or while neither a watcher nor the store
+    /// answers.
     Unknown,
     /// From the store itself.
     Store,
@@ -166,6 +191,7 @@
     pending_calls: BTreeMap<u64, PendingCall>,
     /// Topics on which the last call to the store failed.
     failing_topics: BTreeSet<Topic>,
+    contact: Contact,
     watcher: Watcher,
     subscriber: Subscriber,
     /// The watchers of this domain, highest rank first.
@@ -183,6 +209,22 @@
     is_stale: bool,
 }
 
+impl Discovery {
+    /// Records an answer of the store about a topic, for other nodes and for the time
+    /// since this node heard of it.
+    fn record_answer(&mut self, now: Time, query: Query, answer: &store::Answer) {
+        let Query { topic, after, .. } = query;
+        let confirmation = query.confirmation(now, answer);
+        if let Some(confirmation) = confirmation {
+            self.contact.store_answered(now);
+            self.contact.heard(topic, confirmation.heard_at);
+        }
+        let confirmation = confirmation.unwrap_or(Confirmation::at(query.sent));
+        self.watcher
+            .record_answer(topic, confirmation, after, answer);
+    }
+}
+
 impl Core {
     /// Enables discovery of members and configuration through the store, and rate
     /// sharing without quota owners. Must be called when the node starts.
@@ -197,6 +239,7 @@
             unlisted_introducer: None,
             pending_calls: BTreeMap::new(),
             failing_topics: BTreeSet::new(),
+            contact: Contact::new(contact::Limits::within(bounds.propagation)),
             watcher: Watcher::default(),
             subscriber: Subscriber::default(),
             watchers: Vec::new(),
@@ -215,6 +258,8 @@
         self.proxy.set_cold_tolerance(bounds.cold_excess);
         if let Some(discovery) = &mut self.discovery {
             discovery.bounds = bounds;
+            let limits = contact::Limits::within(bounds.propagation);
+            discovery.contact.set_limits(limits);
         }
     }
 
@@ -267,6 +312,8 @@
             .due()
             .min(discovery.follower.next_call_at());
         let calls = calls.min(discovery.subscriber.due());
+        let is_watching = discovery.source == FeedSource::Store;
+        let calls = calls.min(discovery.contact.due(is_watching));
         let calls = match discovery.directory.has_listing() {
             true => calls,
             false => calls.min(discovery.introduction.due()),
@@ -307,6 +354,7 @@
                 .insert(number, PendingCall::Introduce);
         }
         self.query_watcher_or_store(now, &mut discovery, out);
+        self.check_store(now, &mut discovery, out);
         for (peer, reconnect) in &mut discovery.unreachable {
             if now >= reconnect.next {
                 reconnect.next = now + reconnect.backoff;
@@ -373,48 +421,60 @@
         };
         match discovery.pending_calls.remove(&number) {
             Some(PendingCall::Register) => {
+                match answer {
+                    store::Answer::Lost => discovery.contact.store_lost(now),
+                    _ => discovery.contact.store_answered(now),
+                }
                 discovery
                     .directory
                     .handle_answer(now, Purpose::Register, answer);
             }
             Some(PendingCall::Introduce) => discovery.introduction.handle_answer(now, answer),
-            Some(PendingCall::Follow { topic, after, sent }) => {
-                self.log_watch_outcome(now, topic, sent, &answer, out);
-                let Some(discovery) = &mut self.discovery else {
-                    return;
-                };
-                discovery.watcher.record_answer(topic, sent, after, &answer);
-                match topic {
-                    Topic::Members => {
-                        let changes =
-                            discovery
-                                .directory
-                                .handle_answer(now, Purpose::Watch, answer);
-                        self.apply_member_changes(now, changes, out);
-                    }
-                    Topic::Configuration => {
-                        let news = discovery.follower.answer(now, answer);
-                        self.handle_config_update(now, news, None, out);
-                    }
-                }
-            }
+            Some(PendingCall::Follow(query)) => self.handle_watch_answer(now, query, answer, out),
+            Some(PendingCall::Check(query)) => self.handle_check_answer(now, query, answer, out),
             None => {}
         }
         self.discovery_tick(now, out);
     }
 
+    fn handle_watch_answer(
+        &mut self,
+        now: Time,
+        query: Query,
+        answer: store::Answer,
+        out: &mut Vec<Action>,
+    ) {
+        self.log_watch_outcome(now, query, &answer, out);
+        let Some(discovery) = &mut self.discovery else {
+            return;
+        };
+        discovery.record_answer(now, query, &answer);
+        match query.topic {
+            Topic::Members => {
+                let changes = discovery
+                    .directory
+                    .handle_answer(now, Purpose::Watch, answer);
+                self.apply_member_changes(now, changes, out);
+            }
+            Topic::Configuration => {
+                let news = discovery.follower.answer(now, answer);
+                self.handle_config_update(now, news, None, out);
+            }
+        }
+    }
+
     /// Logs the first failure after a success of the calls about a topic.
     fn log_watch_outcome(
         &mut self,
         now: Time,
-        topic: Topic,
-        sent: Time,
+        query: Query,
         answer: &store::Answer,
         out: &mut Vec<Action>,
     ) {
         let Some(discovery) = &mut self.discovery else {
             return;
         };
+        let Query { topic, sent, .. } = query;
         if *answer != store::Answer::Lost {
             discovery.failing_topics.remove(&topic);
             return;
@@ -596,6 +656,7 @@
         }
         let left = *discovery.deregistering_since.get_or_insert_with(|| {
             discovery.directory.leave(now);
+            discovery.contact.forget(Topic::Members);
             now
         });
         discovery.directory.has_left() || now.since(left) >= DEREGISTER_TIMEOUT
--- a/src/process/node/listed/inquiry.rs
+++ b/src/process/node/listed/inquiry.rs
@@ -5,13 +5,17 @@
     FeedSource,
     INTRODUCER_WATCH_TIME,
     PendingCall,
+    Query,
     UNLISTED_RETENTION,
     WATCHER_CANDIDATES,
     WATCHER_HASH_SEED, //
 };
 use crate::{
-    clock::Time,
-    directory,
+    clock::{
+        Span,
+        Time, //
+    },
+    contact, directory,
     feed::{
         self,
         Topic, //
@@ -31,8 +35,22 @@
         LogEvent,
         StoreCaller, //
     },
+    store::{
+        Answer,
+        Call, //
+    },
 };
 
+impl Discovery {
+    /// The store call of a query.
+    fn call(&self, query: Query) -> Call {
+        match query.topic {
+            Topic::Members => directory::watch_call(query.after, query.wait),
+            Topic::Configuration => self.follower.changes_call(query.after, query.wait),
+        }
+    }
+}
+
 impl Core {
     /// Sends pending queries to a watcher of this domain, or to the store if no
     /// watcher can be asked.
@@ -67,14 +85,19 @@
             FeedSource::Unknown => {}
             FeedSource::Peer(name) => {
                 discovery.current = Some(name.clone());
-                if let Some(question) = discovery.subscriber.next_question(now, me, &name) {
+                let question =
+                    discovery
+                        .subscriber
+                        .next_question(now, me, &name, &discovery.contact);
+                if let Some(question) = question {
                     out.push(control_frame(name, Message::Feed(question)));
                 }
             }
             FeedSource::Store => self.query_store(now, discovery, out),
         }
         let me = &self.identity.peer.instance;
-        for (to, reply) in discovery.watcher.take_replies(now, me) {
+        let wait = discovery.contact.limits().wait;
+        for (to, reply) in discovery.watcher.take_replies(now, wait, me) {
             out.push(control_frame(to, Message::Feed(reply)));
         }
     }
@@ -106,6 +129,8 @@
             Some(chosen) if *chosen != self.identity.peer.instance => {
                 FeedSource::Peer(chosen.clone())
             }
+            // Without the store, a call by each node would only add to its load.
+            None if discovery.contact.is_lost() => FeedSource::Unknown,
             _ => FeedSource::Store,
         }
     }
@@ -114,18 +139,76 @@
     /// asks for changes, as a listing is as large as the fleet.
     fn query_store(&mut self, now: Time, discovery: &mut Discovery, out: &mut Vec<Action>) {
         for (topic, after) in discovery.subscriber.take_requests() {
-            let after = after.filter(|_| discovery.watcher.has_topic(topic));
-            let call = match topic {
-                Topic::Members => directory::watch_call(after),
-                Topic::Configuration => discovery.follower.changes_call(after),
+            let query = Query {
+                topic,
+                after: after.filter(|_| discovery.watcher.has_topic(topic)),
+                sent: now,
+                wait: discovery.contact.next_wait(topic, now),
             };
-            let number = self.call_store(StoreCaller::Discovery, call, out);
-            let sent = now;
-            let pending = PendingCall::Follow { topic, after, sent };
+            let number = self.call_store(StoreCaller::Discovery, discovery.call(query), out);
+            let pending = PendingCall::Follow(query);
             discovery.pending_calls.insert(number, pending);
         }
     }
 
+    /// Asks the store about a topic if this node has not heard of it for too long.
+    pub(super) fn check_store(
+        &mut self,
+        now: Time,
+        discovery: &mut Discovery,
+        out: &mut Vec<Action>,
+    ) {
+        let is_watching = discovery.source == FeedSource::Store;
+        let Some(topic) = discovery.contact.tick(now, is_watching) else {
+            return;
+        };
+        self.counts.add(Counter::StoreChecked(topic));
+        let query = Query {
+            topic,
+            after: discovery.watcher.revision(topic),
+            sent: now,
+            wait: Span::ZERO,
+        };
+        let number = self.call_store(StoreCaller::Discovery, discovery.call(query), out);
+        let pending = PendingCall::Check(query);
+        discovery.pending_calls.insert(number, pending);
+    }
+
+    pub(super) fn handle_check_answer(
+        &mut self,
+        now: Time,
+        query: Query,
+        answer: Answer,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(discovery) = &mut self.discovery else {
+            return;
+        };
+        let Query { topic, sent, .. } = query;
+        let outcome = contact::Outcome::of(&answer);
+        out.push(Action::Log(LogEvent::StoreChecked {
+            topic,
+            silence: discovery.contact.silence(topic, now),
+            outcome,
+        }));
+        let is_answered = outcome != contact::Outcome::Failed;
+        discovery.contact.check_ended(now, topic, is_answered);
+        if !is_answered {
+            return discovery.directory.probe_store(now);
+        }
+        discovery.record_answer(now, query, &answer);
+        match topic {
+            Topic::Members => {
+                let changes = discovery.directory.handle_extra(now, sent, answer);
+                self.apply_member_changes(now, changes, out);
+            }
+            Topic::Configuration => {
+                let news = discovery.follower.extra_answer(sent, answer);
+                self.handle_config_update(now, news, None, out);
+            }
+        }
+    }
+
     /// Handles a message between a watcher and the nodes that query it.
     pub(in crate::process::node) fn on_feed_message(
         &mut self,
@@ -141,7 +224,10 @@
                 from,
                 number,
                 after,
-            } => discovery.watcher.handle_question(now, from, number, after),
+                silence,
+            } => discovery
+                .watcher
+                .handle_question(now, from, number, after, silence),
             feed::Message::Reply {
                 from,
                 number,
@@ -150,7 +236,12 @@
                 news,
             } => {
                 let is_first = !discovery.directory.has_listing();
-                for update in discovery.subscriber.handle_reply(now, number, held, news) {
+                let max_silence = discovery.contact.limits().watcher;
+                let updates =
+                    discovery
+                        .subscriber
+                        .handle_reply(now, number, held, news, max_silence);
+                for update in updates {
                     self.apply_watcher_update(now, update, &from, out);
                 }
                 if is_first {
@@ -217,22 +308,23 @@
             return;
         };
         let (topic, after) = (update.topic, update.after);
+        let confirmation = update.confirmation;
+        discovery.contact.heard(topic, confirmation.heard_at);
         discovery
             .watcher
-            .record_answer(topic, update.confirmed_at, after, &update.answer);
+            .record_answer(topic, confirmation, after, &update.answer);
+        let confirmed_at = confirmation.confirmed_at;
         match topic {
             Topic::Members => {
-                let changes =
-                    discovery
-                        .directory
-                        .handle_relayed(now, update.confirmed_at, update.answer);
+                let changes = discovery
+                    .directory
+                    .handle_relayed(now, confirmed_at, update.answer);
                 self.apply_member_changes(now, changes, out);
             }
             Topic::Configuration => {
-                let news =
-                    discovery
-                        .follower
-                        .relayed_answer(now, update.confirmed_at, update.answer);
+                let news = discovery
+                    .follower
+                    .relayed_answer(now, confirmed_at, update.answer);
                 self.handle_config_update(now, news, Some(watcher.clone()), out);
             }
         }
--- a/src/standin/driver.rs
+++ b/src/standin/driver.rs
@@ -244,6 +244,8 @@
     pub weather: Weather,
     /// Nodes whose calls do not reach the store, whatever its weather.
     pub unreached: BTreeSet<usize>,
+    /// Calls that did not reach the store.
+    pub lost_calls: u64,
     /// What truly happened.
     pub ledger: Ledger,
     /// A promise that the driver breaks, to show that it would be seen.
@@ -273,6 +275,7 @@
             store: Map::default(),
             weather: Weather::default(),
             unreached: BTreeSet::new(),
+            lost_calls: 0,
             ledger: Ledger::default(),
             plant: None,
             rng,
--- a/src/standin/driver/net.rs
+++ b/src/standin/driver/net.rs
@@ -180,6 +180,7 @@
             driver.push(driver.now + after, What::Node(node, life, event));
         };
         if !self.reaches_store(node) {
+            self.lost_calls += 1;
             return reply(self, STORE_TIMEOUT, store::Answer::Lost);
         }
         match self.store.on(self.now, &call) {
--- a/src/version/follow.rs
+++ b/src/version/follow.rs
@@ -114,12 +114,19 @@
             return None;
         }
         self.sent_at = Some(now);
-        Some(self.changes_call(self.after))
+        Some(self.changes_call(self.after, WATCH_WAIT))
     }
 
-    /// Builds the call that asks the store what has changed since a revision.
-    pub fn changes_call(&self, after: Option<Revision>) -> Call {
-        Call::changes(self.source.prefix, after, WATCH_WAIT)
+    /// Builds the call that asks the store what has changed since a revision, and waits
+    /// for changes.
+    pub fn changes_call(&self, after: Option<Revision>, wait: Span) -> Call {
+        Call::changes(self.source.prefix, after, wait)
+    }
+
+    /// Processes the answer to a call that was made beside the pending one, at `sent_at`.
+    pub fn extra_answer(&mut self, sent_at: Time, answer: Answer) -> Update {
+        let applied = self.apply(sent_at, answer);
+        applied.map_or(Update::Nothing, |(_, update)| update)
     }
 
     /// Processes an answer of the store as relayed by another node; `confirmed` is
@@ -136,16 +143,16 @@
         let Some(sent_at) = self.sent_at.take() else {
             return Update::Nothing;
         };
-        let (entry, at) = match answer {
-            Answer::Listing { entries, at } => {
-                self.list_evacuations(&entries, at);
-                let mut entries = entries.into_iter();
-                (entries.find(|entry| entry.key == self.source.key), at)
-            }
-            Answer::Changes { changes, at } => {
-                self.change_evacuations(&changes, at);
-                let ours = changes.into_iter().filter(|c| c.key == self.source.key);
-                (ours.filter_map(|change| change.entry).next_back(), at)
+        match answer {
+            Answer::Listing { .. } | Answer::Changes { .. } => {
+                self.retry_delay = MIN_RETRY_DELAY;
+                let Some((at, update)) = self.apply(sent_at, answer) else {
+                    self.next_at = now + ABSENT_VALUE_DELAY;
+                    return Update::Nothing;
+                };
+                self.next_at = now;
+                self.after = Some(at);
+                update
             }
             // The store has dropped its history, or the call failed: read
             // everything again. A lost answer may have contained a change, so
@@ -153,23 +160,37 @@
             Answer::Compacted => {
                 self.after = None;
                 self.next_at = now;
-                return Update::Nothing;
+                Update::Nothing
             }
             _ => {
                 self.after = None;
                 self.next_at = now + self.retry_delay;
                 self.retry_delay = Span::from_ms(self.retry_delay.as_ms() * 2).min(MAX_RETRY_DELAY);
-                return Update::Nothing;
+                Update::Nothing
+            }
+        }
+    }
+
+    /// Applies the entries of an answer to a call sent at `sent_at`. Returns the revision
+    /// from which to continue; `None` if there is no value yet.
+    fn apply(&mut self, sent_at: Time, answer: Answer) -> Option<(Revision, Update)> {
+        let (entry, at) = match answer {
+            Answer::Listing { entries, at } => {
+                self.list_evacuations(&entries, at);
+                let mut entries = entries.into_iter();
+                (entries.find(|entry| entry.key == self.source.key), at)
+            }
+            Answer::Changes { changes, at } => {
+                self.change_evacuations(&changes, at);
+                let ours = changes.into_iter().filter(|c| c.key == self.source.key);
+                (ours.filter_map(|change| change.entry).next_back(), at)
             }
+            _ => return None,
         };
-        self.retry_delay = MIN_RETRY_DELAY;
-        self.next_at = now;
         if self.snapshot.version == Version(0) && entry.is_none() {
-            self.next_at = now + ABSENT_VALUE_DELAY;
-            return Update::Nothing;
+            return None;
         }
-        self.after = Some(at);
-        match entry {
+        let update = match entry {
             Some(entry) if entry.revision > self.last_read => {
                 self.last_read = entry.revision;
                 self.read_value(sent_at, &entry.value)
@@ -178,7 +199,8 @@
                 self.confirm(sent_at);
                 self.take_update(false)
             }
-        }
+        };
+        Some((at, update))
     }
 
     /// Updates the evacuations from a full listing: those missing from it have ended.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -5,6 +5,8 @@
 
 #[path = "fleet/adoption.rs"]
 mod adoption;
+#[path = "fleet/contact.rs"]
+mod contact;
 #[path = "fleet/delta.rs"]
 mod delta;
 #[path = "fleet/directory.rs"]
--- a/tests/fleet/feed.rs
+++ b/tests/fleet/feed.rs
@@ -7,7 +7,12 @@
         Span,
         Time, //
     },
+    contact::{
+        Contact,
+        Limits, //
+    },
     feed::{
+        Confirmation,
         Message,
         News,
         Subscriber,
@@ -27,6 +32,10 @@
 };
 
 const START: Time = Time::from_ms(50_000);
+/// The timeouts for changes that have to be in force within two seconds.
+fn limits() -> Limits {
+    Limits::within(Span::from_secs(2))
+}
 
 fn name(name: &str) -> Instance {
     name.parse().expect("a name")
@@ -81,6 +90,8 @@
     now: Time,
     watcher: Watcher,
     subscriber: Subscriber,
+    /// What the asker knows of the store.
+    contact: Contact,
 }
 
 impl Pair {
@@ -89,6 +100,7 @@
             now: START,
             watcher: Watcher::default(),
             subscriber: Subscriber::default(),
+            contact: Contact::new(limits()),
         }
     }
 
@@ -96,7 +108,7 @@
     fn store(&mut self, after: Option<u64>, answer: &Answer) {
         let after = after.map(Revision);
         self.watcher
-            .record_answer(Topic::Members, self.now, after, answer);
+            .record_answer(Topic::Members, Confirmation::at(self.now), after, answer);
     }
 
     fn ask(&mut self, after: Option<u64>) {
@@ -106,15 +118,20 @@
             from,
             number,
             after,
-        }) = self.subscriber.next_question(self.now, &me, &watcher)
+            silence,
+        }) = self
+            .subscriber
+            .next_question(self.now, &me, &watcher, &self.contact)
         {
-            self.watcher.handle_question(self.now, from, number, after);
+            self.watcher
+                .handle_question(self.now, from, number, after, silence);
         }
     }
 
     /// The watcher's reply, if it has one now.
     fn reply(&mut self) -> Option<(u64, Span, BTreeMap<Topic, News>)> {
-        let mut replies = self.watcher.take_replies(self.now, &name("watcher"));
+        let wait = limits().wait;
+        let mut replies = self.watcher.take_replies(self.now, wait, &name("watcher"));
         match replies.pop()? {
             (
                 _,
@@ -129,10 +146,21 @@
     fn hear(&mut self) -> Vec<Update> {
         let reply = self.reply();
         reply.map_or(Vec::new(), |(number, held, news)| {
-            self.subscriber.handle_reply(self.now, number, held, news)
+            self.handle_reply(number, held, news)
         })
     }
 
+    fn handle_reply(
+        &mut self,
+        number: u64,
+        held: Span,
+        news: BTreeMap<Topic, News>,
+    ) -> Vec<Update> {
+        let limit = limits().watcher;
+        self.subscriber
+            .handle_reply(self.now, number, held, news, limit)
+    }
+
     fn is_chosen(&self) -> bool {
         let watchers = [name("watcher")];
         self.subscriber
@@ -141,6 +169,60 @@
     }
 }
 
+/// Guards against an asker that believes its watcher to be silent although that has heard
+/// that nothing changed.
+#[test]
+fn a_newer_confirmation_is_passed_on_at_once() {
+    let mut pair = Pair::new();
+    pair.store(None, &listing(&["a"], 5));
+    pair.contact.heard(Topic::Members, START);
+    pair.ask(Some(5));
+    pair.now += Span::from_ms(900);
+    assert!(pair.hear().is_empty(), "the store has said nothing");
+    pair.store(Some(5), &quiet(5));
+    let words = pair.hear();
+    assert_eq!(words[0].answer, quiet(5));
+    assert_eq!(words[0].confirmation.heard_at, pair.now);
+}
+
+/// Guards against replies back and forth without a word of the store in between.
+#[test]
+fn the_same_confirmation_is_passed_on_once() {
+    let mut pair = Pair::new();
+    pair.store(None, &listing(&["a"], 5));
+    pair.contact
+        .heard(Topic::Members, Time::from_ms(START.as_ms() - 900));
+    pair.now += Span::from_ms(40);
+    pair.ask(Some(5));
+    let words = pair.hear();
+    pair.contact
+        .heard(Topic::Members, words[0].confirmation.heard_at);
+    pair.now += Span::from_ms(3);
+    pair.ask(Some(5));
+    assert!(pair.hear().is_empty());
+}
+
+/// Guards against leaving a watcher that is taking over and has heard of one topic so far.
+#[test]
+fn a_watcher_that_is_taking_over_is_kept() {
+    let mut pair = Pair::new();
+    pair.store(None, &listing(&["a"], 5));
+    let configuration = listing(&["operator"], 6);
+    pair.now += Span::from_secs(3);
+    let now = pair.now;
+    pair.watcher.record_answer(
+        Topic::Configuration,
+        Confirmation::at(now),
+        None,
+        &configuration,
+    );
+    pair.contact.heard(Topic::Members, START);
+    pair.subscriber.request(Topic::Configuration, None);
+    pair.ask(Some(5));
+    assert_eq!(pair.hear().len(), 2);
+    assert!(pair.is_chosen());
+}
+
 /// Guards against news that waits for the next question.
 #[test]
 fn a_change_is_passed_on_at_once() {
@@ -165,8 +247,12 @@
         pair.now += Span::from_ms(400);
         let (number, held, news) = pair.reply().expect("a reply");
         pair.now += Span::from_ms(delay);
-        let words = pair.subscriber.handle_reply(pair.now, number, held, news);
-        assert_eq!(words[0].confirmed_at, START, "after {delay} ms");
+        let words = pair.handle_reply(number, held, news);
+        assert_eq!(
+            words[0].confirmation,
+            Confirmation::at(START),
+            "after {delay} ms"
+        );
     }
 }
 
@@ -231,7 +317,7 @@
     pair.now += Span::from_secs(3);
     pair.ask(Some(5));
     pair.now += Span::from_ms(400);
-    assert_eq!(pair.hear()[0].confirmed_at, START);
+    assert_eq!(pair.hear()[0].confirmation, Confirmation::at(START));
     assert!(!pair.is_chosen());
 }
 
@@ -255,8 +341,12 @@
     pair.ask(Some(5));
     let configuration = listing(&["operator"], 6);
     let now = pair.now;
-    pair.watcher
-        .record_answer(Topic::Configuration, now, None, &configuration);
+    pair.watcher.record_answer(
+        Topic::Configuration,
+        Confirmation::at(now),
+        None,
+        &configuration,
+    );
     pair.subscriber.request(Topic::Configuration, None);
     pair.ask(Some(5));
     let topics: Vec<_> = pair.hear().into_iter().map(|word| word.topic).collect();
@@ -295,7 +385,7 @@
     let (number, held, news) = pair.reply().expect("a reply");
     let bytes = encoded_bytes(&news) as u64;
     assert!(bytes < 70 * members, "{bytes} bytes for {members} members");
-    let words = pair.subscriber.handle_reply(pair.now, number, held, news);
+    let words = pair.handle_reply(number, held, news);
     let Answer::Listing { entries, .. } = &words[0].answer else {
         panic!("no listing");
     };
@@ -319,7 +409,7 @@
     let update = &heard[0];
     second.watcher.record_answer(
         Topic::Members,
-        update.confirmed_at,
+        update.confirmation,
         update.after,
         &update.answer,
     );
@@ -396,7 +486,7 @@
     let (number, held, news) = pair.reply().expect("a reply");
     let bytes = encoded_bytes(&news);
     assert!(bytes < 20_000, "{bytes} bytes");
-    let words = pair.subscriber.handle_reply(pair.now, number, held, news);
+    let words = pair.handle_reply(number, held, news);
     let Answer::Changes { changes, at } = &words[0].answer else {
         panic!("no changes");
     };
--- a/tests/fleet/propagation.rs
+++ b/tests/fleet/propagation.rs
@@ -39,6 +39,8 @@
 const CONTACT: Span = Span::from_ms(3000);
 /// Nodes in each failure domain. Those of the first are the lowest numbers.
 const DOMAIN_SIZE: usize = 4;
+/// Failure domains of a fleet.
+const DOMAINS: u64 = 3;
 /// Least time between the end of a disturbance and the next one.
 const RECOVERY: Span = Span::from_secs(6);
 /// Step by which this time varies, so that changes meet every phase of the calls that
@@ -54,14 +56,18 @@
     })
 }
 
-fn discover(core: &mut Core) {
+fn discover(core: &mut Core, bound: Span) {
     let source = Source {
         prefix: KEY,
         key: KEY,
         evacuated: |_| None,
         read,
     };
-    core.enable_store_discovery(source, Bounds::default());
+    let bounds = Bounds {
+        propagation: bound,
+        ..Bounds::default()
+    };
+    core.enable_store_discovery(source, bounds);
 }
 
 /// What happens to some nodes.
@@ -85,16 +91,22 @@
 struct Fleet {
     driver: Driver,
     version: u64,
+    bound: Span,
 }
 
 impl Fleet {
     fn new() -> Self {
+        Self::with(DOMAIN_SIZE, BOUND)
+    }
+
+    /// A fleet of three failure domains that have found each other.
+    fn with(domain_size: usize, bound: Span) -> Self {
         let driver = Driver::new(Setup {
             seed: 7,
             domains: vec!["a", "b", "c"],
             services: vec![Service {
                 pool: "registry".parse().expect("a name"),
-                instances: vec![DOMAIN_SIZE; 3],
+                instances: vec![domain_size; 3],
                 slots: 50,
                 work: Span::from_ms(5),
                 nested: vec![],
@@ -111,9 +123,13 @@
                 silent: true,
             },
             spy: false,
-            prepare: Box::new(discover),
+            prepare: Box::new(move |core| discover(core, bound)),
         });
-        let mut fleet = Self { driver, version: 0 };
+        let mut fleet = Self {
+            driver,
+            version: 0,
+            bound,
+        };
         fleet.write(Written::Configuration);
         fleet.driver.run_for(Span::from_secs(10));
         fleet
@@ -185,7 +201,7 @@
         self.disturb(trouble, nodes);
         self.driver.run_for(Span::from_ms(30));
         self.write(written);
-        self.driver.run_for(BOUND);
+        self.driver.run_for(self.bound);
         let others = (0..self.driver.len()).filter(|node| !nodes.contains(node));
         let others: Vec<_> = others.collect();
         let late = others
@@ -216,7 +232,11 @@
 /// Guards against a confirmed change that is in force too late, as a node keeps to those
 /// which have lost the store, or asks several that are silent one after the other.
 fn change_is_in_force_in_time(trouble: Trouble, count: usize, written: Written) {
-    let mut fleet = Fleet::new();
+    change_is_in_force_within(BOUND, trouble, count, written);
+}
+
+fn change_is_in_force_within(bound: Span, trouble: Trouble, count: usize, written: Written) {
+    let mut fleet = Fleet::with(DOMAIN_SIZE, bound);
     let mut late = Vec::new();
     let groups = groups(count);
     for round in 0..ROUNDS {
@@ -245,6 +265,55 @@
     a_member_joins_as_three_are_frozen => (Trouble::Frozen, 3, Written::Member),
 }
 
+cases! { change_is_in_force_within:
+    one_is_cut_under_a_tight_bound =>
+        (Span::from_ms(1000), Trouble::Cut, 1, Written::Configuration),
+    three_are_cut_under_a_tight_bound =>
+        (Span::from_ms(1000), Trouble::Cut, 3, Written::Configuration),
+    three_are_frozen_under_a_tight_bound =>
+        (Span::from_ms(1000), Trouble::Frozen, 3, Written::Configuration),
+    three_are_cut_under_a_loose_bound =>
+        (Span::from_ms(4000), Trouble::Cut, 3, Written::Configuration),
+}
+
+/// Guards against a rush of all nodes to the store while it is away, and when it returns.
+fn an_outage_costs_few_calls(domain_size: usize) {
+    let mut fleet = Fleet::with(domain_size, BOUND);
+    let asked = |fleet: &Fleet| {
+        let store = &fleet.driver.store;
+        store.calls_under("operators") + store.calls_under("bluebellswitch")
+    };
+    fleet.driver.run_for(Span::from_secs(10));
+    let before = asked(&fleet);
+    fleet.driver.run_for(Span::from_secs(10));
+    let steady = asked(&fleet) - before;
+    fleet.driver.weather.out = true;
+    fleet.driver.run_for(Span::from_secs(5));
+    fleet.driver.weather.out = false;
+    let nodes = fleet.driver.len() as u64;
+    // Each node renews its lease and checks the store once; the watchers of a domain, three
+    // at most, go on asking about both topics.
+    let lost = fleet.driver.lost_calls;
+    let most = 5 * nodes + DOMAINS * 3 * 2 * 5;
+    assert!(lost <= most, "{lost} calls of {nodes} nodes in an outage");
+    let before = asked(&fleet);
+    fleet.driver.run_for(Span::from_secs(10));
+    let after = asked(&fleet) - before;
+    // Each node may register again: a lease and a record. Two more watchers a domain ask
+    // about both topics until they are no longer asked, 3 s later.
+    let most = steady + 3 * nodes + DOMAINS * 2 * 2 * 4;
+    assert!(
+        after <= most,
+        "{after} calls after an outage, {steady} in steady state"
+    );
+}
+
+cases! { an_outage_costs_few_calls:
+    an_outage_at_12_nodes => (4),
+    an_outage_at_60_nodes => (20),
+    an_outage_at_120_nodes => (40),
+}
+
 /// Guards against a node that starts beside an introducer which has lost the store, and
 /// serves by the old configuration that it gets from there.
 #[test]
