Let a newcomer ask the store before it uses an old first configuration

A node that starts takes its first configuration from an introducer. If that had lost the store, the node put a version in force that may have been replaced long ago, until its first check, some milliseconds later.

newcomer_beside_nodes_that_lost_the_store_long_ago failed before: version 1 in force at node 0, 2.5 s after version 2 was confirmed.

--- a/src/process/contact.rs
+++ b/src/process/contact.rs
@@ -210,6 +210,11 @@
         silent_at.map_or(Time::NEVER, |at| at.max(self.next_check))
     }
 
+    /// Whether a check is due or under way.
+    pub fn is_in_doubt(&self, now: Time, is_watching: bool) -> bool {
+        !self.checking.is_empty() || self.due(is_watching) <= now
+    }
+
     /// Returns the topic to check now, if any. `is_watching` tells whether this node asks
     /// the store for changes anyway. Topics are checked one after the other, so that a
     /// lost store costs one call.
--- a/src/process/node/listed/inquiry.rs
+++ b/src/process/node/listed/inquiry.rs
@@ -21,7 +21,10 @@
         Topic, //
     },
     frame::Frame,
-    id::Instance,
+    id::{
+        Instance,
+        Version, //
+    },
     member::{
         self,
         Peer,
@@ -310,6 +313,12 @@
         let (topic, after) = (update.topic, update.after);
         let confirmation = update.confirmation;
         discovery.contact.heard(topic, confirmation.heard_at);
+        let is_first = topic == Topic::Configuration && self.snapshot.version == Version(0);
+        if is_first && discovery.contact.is_in_doubt(now, false) {
+            // An older version may have been replaced long ago. Without any, requests are
+            // refused until the check is answered.
+            return discovery.subscriber.request(topic, after);
+        }
         discovery
             .watcher
             .record_answer(topic, confirmation, after, &update.answer);
--- a/tests/fleet/propagation.rs
+++ b/tests/fleet/propagation.rs
@@ -348,3 +348,30 @@
     }
     assert!(late.is_empty(), "an older version is in force: {late:?}");
 }
+
+/// Guards against a node that starts and serves, if only for a moment, by a version that
+/// was replaced longer ago than the bound.
+#[test]
+fn newcomer_beside_nodes_that_lost_the_store_long_ago() {
+    for newcomer in 0..DOMAIN_SIZE {
+        let mut fleet = Fleet::new();
+        fleet.driver.kill(newcomer);
+        let others: Vec<_> = (0..DOMAIN_SIZE).filter(|node| *node != newcomer).collect();
+        fleet.disturb(Trouble::Cut, &others);
+        fleet.write(Written::Configuration);
+        fleet.driver.run_for(Span::from_ms(2500));
+        fleet.driver.restart(newcomer);
+        let started: Time = fleet.driver.now();
+        while !fleet.is_in_force(Written::Configuration, newcomer) {
+            let core = fleet.driver.core(newcomer).expect("a living node");
+            let version = core.snapshot().version;
+            assert_eq!(version, Version(0), "at node {newcomer}");
+            let waited = fleet.driver.now().since(started);
+            assert!(
+                waited < Span::from_secs(8),
+                "node {newcomer} after {waited}"
+            );
+            fleet.driver.run_for(Span::from_ms(1));
+        }
+    }
+}
