Name constants of commands and stand-ins by what they hold

54 constants of one word (SOON, WARM, HEARD, PATIENCE, MANY) told neither what they hold nor their unit. Values and logic are unchanged.

--- a/src/command/access.rs
+++ b/src/command/access.rs
@@ -51,11 +51,11 @@
 };
 
 /// How long one call may take; a lost one is tried again.
-const TIMEOUT: Span = Span::from_secs(2);
+const CALL_TIMEOUT: Span = Span::from_secs(2);
 /// How often a read is tried.
-const READS: u32 = 5;
+const MAX_READS: u32 = 5;
 /// The wait between two reads.
-const READ_WAIT: Span = Span::from_ms(300);
+const READ_RETRY_INTERVAL: Span = Span::from_ms(300);
 
 /// Where the platform's service is, and how to print.
 #[derive(Clone, Debug)]
@@ -107,16 +107,16 @@
 
 impl Access {
     fn client(&self) -> Client {
-        Client::new(self.platform, TIMEOUT)
+        Client::new(self.platform, CALL_TIMEOUT)
     }
 
     /// Reads the document in force; an empty one when there is none.
     pub(super) fn read(&self) -> Result<Document> {
         actix_rt::System::new().block_on(async {
             let client = self.client();
-            for turn in 0..READS {
+            for turn in 0..MAX_READS {
                 if turn > 0 {
-                    tokio::time::sleep(READ_WAIT.to_std()).await;
+                    tokio::time::sleep(READ_RETRY_INTERVAL.to_std()).await;
                 }
                 let key = KEY.to_owned();
                 match client.call(Call::Get { key }).await {
--- a/src/command/demo.rs
+++ b/src/command/demo.rs
@@ -57,13 +57,13 @@
 /// Requests a second with each key, before the surge.
 const RATE: f64 = 55.0;
 /// How many times the usual load a surge is.
-const SURGE: f64 = 3.0;
+const SURGE_FACTOR: f64 = 3.0;
 /// Time by which every node must have a new version.
-const IN_FORCE: Span = Span::from_secs(5);
+const ADOPTION_TIMEOUT: Span = Span::from_secs(5);
 /// Time that nodes get to find each other.
-const JOIN: Span = Span::from_secs(5);
+const JOIN_TIMEOUT: Span = Span::from_secs(5);
 /// Time for the last answers.
-const LAST: Span = Span::from_secs(9);
+const LAST_ANSWER_TIMEOUT: Span = Span::from_secs(9);
 
 /// Reads `demo`.
 pub(super) fn parser() -> Subcommand {
@@ -125,7 +125,7 @@
             actix_rt::spawn(self.load.clone().run(key.clone(), RATE));
         }
         self.phase("steady load", Span::from_secs(3)).await;
-        self.load.surge.set(SURGE);
+        self.load.surge.set(SURGE_FACTOR);
         self.phase("surge to three times the load", Span::from_secs(3))
             .await;
         self.instance("registry-south")?.service.kill();
@@ -142,7 +142,9 @@
         self.phase("one row edited, one node drained", Span::from_secs(2))
             .await;
         self.load.on.set(false);
-        let ended = self.until(LAST, async || self.load.open.get() == 0).await;
+        let ended = self
+            .until(LAST_ANSWER_TIMEOUT, async || self.load.open.get() == 0)
+            .await;
         let calls = self.site.calls();
         let mut broken = self.verdict();
         let unrated = self.ledger.borrow().unrated();
@@ -226,7 +228,7 @@
             }
             true
         };
-        if self.until(JOIN, ready).await {
+        if self.until(JOIN_TIMEOUT, ready).await {
             return Ok(());
         }
         Err(Error::broken("the nodes did not find each other in time"))
@@ -245,7 +247,7 @@
             }
             true
         };
-        self.until(JOIN, served).await;
+        self.until(JOIN_TIMEOUT, served).await;
     }
 
     async fn status(&self, instance: &site::Instance) -> serde_json::Value {
@@ -290,7 +292,7 @@
         let begin = Clock.now();
         let version = done.document.version;
         if self
-            .until(IN_FORCE, async || self.in_force(version).await)
+            .until(ADOPTION_TIMEOUT, async || self.in_force(version).await)
             .await
         {
             return Ok(Clock.now().since(begin));
--- a/src/command/demo/load.rs
+++ b/src/command/demo/load.rs
@@ -18,9 +18,9 @@
         Line, //
     },
     service::{
-        BELOW,
-        FLOW,
-        ID, //
+        FLOW_HEADER,
+        ID_HEADER, //
+        NESTED_FAILURE_BODY,
     },
     site::Held,
 };
@@ -42,9 +42,9 @@
 };
 
 /// Time between two looks at what is due.
-const TICK: Span = Span::from_ms(5);
+const TICK_INTERVAL: Span = Span::from_ms(5);
 /// Time after which a caller gives up; every deadline is shorter.
-const PATIENCE: Span = Span::from_secs(8);
+const CALLER_TIMEOUT: Span = Span::from_secs(8);
 
 /// The kinds of requests: importance, method, path and share of a flow.
 pub(super) const KINDS: [(Importance, &str, &str, f64); 3] = [
@@ -94,7 +94,7 @@
         let mut due = KINDS.map(|_| 0.0);
         let mut last = Clock.now();
         while self.on.get() {
-            tokio::time::sleep(TICK.to_std()).await;
+            tokio::time::sleep(TICK_INTERVAL.to_std()).await;
             let now = Clock.now();
             let passed = now.since(last).as_secs_f64() * self.surge.get() * rate;
             last = now;
@@ -132,12 +132,12 @@
         let (number, flow) = (id.to_string(), format!("{} {}", key.team, key.name));
         let bearer = format!("Bearer {}", key.text);
         let headers = [
-            (ID, number.as_str()),
-            (FLOW, flow.as_str()),
+            (ID_HEADER, number.as_str()),
+            (FLOW_HEADER, flow.as_str()),
             ("authorization", bearer.as_str()),
         ];
         let sending = caller.send(method, path, &headers, "");
-        match tokio::time::timeout(PATIENCE.to_std(), sending).await {
+        match tokio::time::timeout(CALLER_TIMEOUT.to_std(), sending).await {
             Ok(Ok(answer)) => judge(&answer, &number),
             Ok(Err(inbound::End::Refused)) => (End::Gone, false),
             Ok(Err(_)) | Err(_) => (End::Wrong, false),
@@ -158,7 +158,7 @@
         let own = answer.body == number.as_bytes();
         return (if own { End::Whole } else { End::Wrong }, false);
     }
-    if answer.body == BELOW.as_bytes() {
+    if answer.body == NESTED_FAILURE_BODY.as_bytes() {
         return (End::Below, false);
     }
     let code = answer.code().and_then(|number| {
--- a/src/command/demo/report.rs
+++ b/src/command/demo/report.rs
@@ -10,7 +10,7 @@
 use crate::clock::Span;
 
 /// The widest list of refusals.
-const REASONS: usize = 3;
+const MAX_REASONS: usize = 3;
 
 /// Prints for a terminal or for a pipe.
 #[derive(Clone, Copy, Debug)]
@@ -71,10 +71,10 @@
     let mut reasons: Vec<_> = counts.refused.iter().map(|(name, n)| (*n, *name)).collect();
     reasons.extend((counts.gone > 0).then_some((counts.gone, "NoConnection")));
     reasons.sort_by(|a, b| b.cmp(a));
-    let rest: u64 = reasons.iter().skip(REASONS).map(|(n, _)| n).sum();
+    let rest: u64 = reasons.iter().skip(MAX_REASONS).map(|(n, _)| n).sum();
     let mut words: Vec<_> = reasons
         .iter()
-        .take(REASONS)
+        .take(MAX_REASONS)
         .map(|(n, name)| format!("{name} {n}"))
         .collect();
     words.extend((rest > 0).then(|| format!("others {rest}")));
--- a/src/command/demo/service.rs
+++ b/src/command/demo/service.rs
@@ -42,13 +42,13 @@
 };
 
 /// The header with the caller's number of a request.
-pub(super) const ID: &str = "x-demo-id";
+pub(super) const ID_HEADER: &str = "x-demo-id";
 /// The header with the name of the caller's flow, its team first.
-pub(super) const FLOW: &str = "x-demo-flow";
+pub(super) const FLOW_HEADER: &str = "x-demo-flow";
 /// What says that a call is nested, so that it is no root.
-pub(super) const NESTED: &str = "x-demo-nested";
+pub(super) const NESTED_HEADER: &str = "x-demo-nested";
 /// The body of an answer when something below failed.
-pub(super) const BELOW: &str = "below";
+pub(super) const NESTED_FAILURE_BODY: &str = "below";
 
 /// What a service is like.
 #[derive(Clone, Copy, Debug)]
@@ -148,14 +148,17 @@
             text.unwrap_or_default().to_owned()
         };
         let (id, flow, token) = (
-            header(ID),
-            header(FLOW),
+            header(ID_HEADER),
+            header(FLOW_HEADER),
             header(Names::own().token.unwrap_or_default()),
         );
-        let is_root = header(NESTED).is_empty();
+        let is_root = header(NESTED_HEADER).is_empty();
         self.look(&request);
         let Ok(_slot) = self.slots.acquire().await else {
-            return reply(StatusCode::SERVICE_UNAVAILABLE, BELOW.to_owned());
+            return reply(
+                StatusCode::SERVICE_UNAVAILABLE,
+                NESTED_FAILURE_BODY.to_owned(),
+            );
         };
         let idempotent = request.method() == "GET";
         if is_root {
@@ -168,7 +171,10 @@
         if let Some(path) = self.kind.nested.filter(|_| !idempotent)
             && !self.call(path, &token).await
         {
-            return reply(StatusCode::SERVICE_UNAVAILABLE, BELOW.to_owned());
+            return reply(
+                StatusCode::SERVICE_UNAVAILABLE,
+                NESTED_FAILURE_BODY.to_owned(),
+            );
         }
         reply(StatusCode::OK, id)
     }
@@ -182,7 +188,7 @@
                 path,
                 &[
                     (Names::own().token.unwrap_or_default(), token),
-                    (NESTED, "yes"),
+                    (NESTED_HEADER, "yes"),
                 ],
             )
             .await;
--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -34,9 +34,9 @@
 
 /// How far around a request lines count that tell what nodes came to believe.
 /// Clocks of nodes differ a little, and a cause lies before its effect.
-const AROUND: Span = Span::from_secs(3);
+const CONTEXT_WINDOW: Span = Span::from_secs(3);
 /// Lines of that kind that are shown.
-const SHOWN: usize = 12;
+const MAX_CONTEXT_LINES: usize = 12;
 
 /// Reads `explain ID FILE...`.
 pub(super) fn parser() -> Subcommand {
@@ -156,7 +156,7 @@
             line.message() == "refused" && line.text("id") != id && runs.iter().any(within)
         };
         let near = |line: &&Line| {
-            let around = AROUND.as_ms();
+            let around = CONTEXT_WINDOW.as_ms();
             let time = line.time + around >= first && line.time <= last + around;
             let plain = !line.is_event() && line.message() != "summary";
             time && plain && nodes.contains(line.source.as_str())
@@ -270,11 +270,17 @@
         self.own.iter().for_each(|line| show(line));
         if !self.calls.is_empty() {
             println!("calls that failed beside it meanwhile:");
-            self.calls.iter().take(SHOWN).for_each(|line| show(line));
+            self.calls
+                .iter()
+                .take(MAX_CONTEXT_LINES)
+                .for_each(|line| show(line));
         }
         if !self.beliefs.is_empty() {
             println!("what its nodes came to believe around it:");
-            self.beliefs.iter().take(SHOWN).for_each(|line| show(line));
+            self.beliefs
+                .iter()
+                .take(MAX_CONTEXT_LINES)
+                .for_each(|line| show(line));
         }
         println!("{}", self.summary());
     }
--- a/src/command/history.rs
+++ b/src/command/history.rs
@@ -70,8 +70,8 @@
 
 /// The rows by name, and only their number when there are many.
 fn rows(entry: &Entry) -> String {
-    const MANY: usize = 6;
-    if entry.rows.len() > MANY {
+    const MAX_LISTED_ROWS: usize = 6;
+    if entry.rows.len() > MAX_LISTED_ROWS {
         return format!("{} rows", entry.rows.len());
     }
     let names: Vec<_> = entry.rows.iter().map(|t| t.row.to_string()).collect();
--- a/src/command/latency.rs
+++ b/src/command/latency.rs
@@ -78,16 +78,16 @@
 
 /// Pairs of a block. Other work on the machine disturbs some blocks and not
 /// others; the median of their figures is what the nodes add by themselves.
-const BLOCK: usize = 500;
+const BLOCK_PAIRS: usize = 500;
 
 /// Requests under way at a time while the nodes are saturated.
-const SATURATION: usize = 32;
+const SATURATION_CONCURRENCY: usize = 32;
 
 /// Requests that may fail before the nodes have settled, 10 ms apart.
 const SETTLE_TRIES: u32 = 500;
 
 /// The largest latency that is told apart, in microseconds.
-const HIGHEST: u64 = 60_000_000;
+const MAX_LATENCY_US: u64 = 60_000_000;
 
 /// How to measure.
 #[derive(Clone, Copy, Debug)]
@@ -172,7 +172,7 @@
         writeln!(f, "{:>10} {p50:>8} {p99:>8}", "added")?;
         writeln!(
             f,
-            "added at p99, median of blocks of {BLOCK}: {} µs",
+            "added at p99, median of blocks of {BLOCK_PAIRS}: {} µs",
             self.typical
         )?;
         writeln!(f, "{} pairs; the goal is {GOAL} µs at p99", self.pairs)?;
@@ -326,7 +326,10 @@
 impl Steady {
     /// The median over blocks of the time added at the 99th percentile.
     fn typical(&self) -> i64 {
-        let blocks = self.direct.chunks(BLOCK).zip(self.through.chunks(BLOCK));
+        let blocks = self
+            .direct
+            .chunks(BLOCK_PAIRS)
+            .zip(self.through.chunks(BLOCK_PAIRS));
         let added = |(direct, through): (&[u64], &[u64])| {
             quantiles(through).p99 as i64 - quantiles(direct).p99 as i64
         };
@@ -365,7 +368,7 @@
 }
 
 fn quantiles(micros: &[u64]) -> Quantiles {
-    let mut histogram = Histogram::<u64>::new_with_max(HIGHEST, 3).expect("a valid range");
+    let mut histogram = Histogram::<u64>::new_with_max(MAX_LATENCY_US, 3).expect("a valid range");
     for micros in micros {
         histogram.saturating_record(*micros);
     }
@@ -379,8 +382,8 @@
 /// Asks as fast as answers come, and returns the answers a second.
 async fn saturate(burst: u32, caller: Rc<Caller>) -> Result<u64> {
     let begin = Instant::now();
-    let each = burst as usize / SATURATION;
-    let askers = (0..SATURATION).map(|_| {
+    let each = burst as usize / SATURATION_CONCURRENCY;
+    let askers = (0..SATURATION_CONCURRENCY).map(|_| {
         let caller = caller.clone();
         actix_rt::spawn(async move {
             for _ in 0..each {
@@ -392,7 +395,7 @@
     for asker in askers.collect::<Vec<_>>() {
         asker.await.map_err(|error| failed(&error.to_string()))??;
     }
-    let asked = (each * SATURATION) as f64;
+    let asked = (each * SATURATION_CONCURRENCY) as f64;
     Ok((asked / begin.elapsed().as_secs_f64()) as u64)
 }
 
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -73,7 +73,7 @@
 /// The exit code of a command line that makes no sense.
 const EXIT_USAGE: u8 = 2;
 /// The width of help texts, in characters.
-const WIDTH: usize = 100;
+const HELP_WIDTH: usize = 100;
 
 /// Every subcommand, in the order of the help text.
 fn commands() -> Vec<Subcommand> {
@@ -114,7 +114,7 @@
              5 the platform's service, 6 a node, 7 the operating system",
         )
         .fallback_to_usage()
-        .max_width(WIDTH)
+        .max_width(HELP_WIDTH)
 }
 
 /// Reads the command line and runs it.
@@ -130,7 +130,7 @@
             ExitCode::from(EXIT_USAGE)
         }
         Err(other) => {
-            other.print_message(WIDTH);
+            other.print_message(HELP_WIDTH);
             ExitCode::SUCCESS
         }
     }
--- a/src/command/node.rs
+++ b/src/command/node.rs
@@ -47,7 +47,7 @@
 const STORE_TIMEOUT: Span = Span::from_secs(2);
 
 /// Time between two looks at the file of settings.
-const RELOAD: Span = Span::from_secs(2);
+const RELOAD_INTERVAL: Span = Span::from_secs(2);
 
 /// Reads `node --settings FILE`.
 pub(super) fn parser() -> Subcommand {
@@ -146,7 +146,7 @@
 /// file may change without a signal. A file that is wrong changes nothing.
 async fn reload(mut file: File, handle: Handle, mut hangup: Signal) {
     loop {
-        let _ = tokio::time::timeout(RELOAD.to_std(), hangup.recv()).await;
+        let _ = tokio::time::timeout(RELOAD_INTERVAL.to_std(), hangup.recv()).await;
         let Ok(now) = std::fs::read_to_string(&file.path) else {
             continue;
         };
--- a/src/command/operator.rs
+++ b/src/command/operator.rs
@@ -29,7 +29,7 @@
 };
 
 /// How long a node may take to answer.
-const TIMEOUT: Span = Span::from_secs(3);
+const REQUEST_TIMEOUT: Span = Span::from_secs(3);
 /// The longest answer, in bytes.
 const ANSWER_LIMIT: usize = 8 << 20;
 
@@ -95,7 +95,7 @@
     /// A client with this token.
     pub(super) fn with_token(token: &str) -> Self {
         Self {
-            http: Client::builder().timeout(TIMEOUT.to_std()).finish(),
+            http: Client::builder().timeout(REQUEST_TIMEOUT.to_std()).finish(),
             token: token.to_owned(),
         }
     }
--- a/src/command/quota/run.rs
+++ b/src/command/quota/run.rs
@@ -23,13 +23,13 @@
 };
 
 /// Time for the first owners to be found and their buckets to fill.
-const SETTLE: Span = Span::from_secs(15);
+const SETTLE_TIME: Span = Span::from_secs(15);
 /// The rate of a small team, in requests a second; large ones have four times it.
-const RATE: u64 = 16;
+const SMALL_TEAM_RATE: u64 = 16;
 /// What teams call, in percent of their rates.
-const CALM: u64 = 80;
+const USUAL_LOAD_PERCENT: u64 = 80;
 /// What the one greedy team calls.
-const GREEDY: u64 = 300;
+const GREEDY_LOAD_PERCENT: u64 = 300;
 /// Which team that is.
 const GREEDY_TEAM: usize = 7;
 
@@ -76,7 +76,7 @@
 impl Trial {
     /// A settled fleet with its callers.
     pub fn new(site: Site, way: &Way, seed: u64) -> Self {
-        let site = site.with_rates(RATE, RATE as u32);
+        let site = site.with_rates(SMALL_TEAM_RATE, SMALL_TEAM_RATE as u32);
         let mut setup = site.setup(seed);
         setup.net.jitter = Span::from_ms(3);
         setup.net.loss = 0.02;
@@ -85,7 +85,7 @@
         setup.prepare = Box::new(move |core| core.configure(mode, setting));
         let domains = setup.domains.clone();
         let mut driver = Driver::new(setup);
-        driver.run_for(SETTLE);
+        driver.run_for(SETTLE_TIME);
         let teams = site.snapshot.teams.teams.clone();
         for (number, team) in teams.iter().enumerate() {
             driver.flow(flow(&site, number, team));
@@ -235,7 +235,11 @@
 }
 
 fn flow(site: &Site, number: usize, team: &Team) -> Flow {
-    let percent = if number == GREEDY_TEAM { GREEDY } else { CALM };
+    let percent = if number == GREEDY_TEAM {
+        GREEDY_LOAD_PERCENT
+    } else {
+        USUAL_LOAD_PERCENT
+    };
     let key: id::Key = format!("key{number}").parse().expect("a plain name");
     let leaf = site.calls.last().map_or("/", |call| call.2);
     Flow {
--- a/src/command/rollout.rs
+++ b/src/command/rollout.rs
@@ -33,7 +33,7 @@
 };
 
 /// Time between two questions.
-const PAUSE: Span = Span::from_ms(300);
+const POLL_INTERVAL: Span = Span::from_ms(300);
 
 /// How long to wait, and whom to ask.
 #[derive(Clone, Debug)]
@@ -91,7 +91,7 @@
                 if passed >= limit {
                     return Err(unconfirmed(version, &behind));
                 }
-                tokio::time::sleep(PAUSE.to_std()).await;
+                tokio::time::sleep(POLL_INTERVAL.to_std()).await;
             }
         })
     }
--- a/src/process/member/exchange.rs
+++ b/src/process/member/exchange.rs
@@ -17,7 +17,7 @@
 use crate::clock::Time;
 
 /// Number of buckets of a digest; each is one bit of a `u64` mask.
-const BUCKETS: u32 = 64;
+const BUCKET_COUNT: u32 = 64;
 /// Maximum number of members whose checksums fit into one datagram.
 const MAX_ENTRIES: usize = 150;
 /// Maximum encoded length of the updates in one datagram, in bytes.
@@ -25,9 +25,9 @@
 
 /// The checksums of all buckets of a table.
 pub(crate) fn digest(table: &Table) -> Vec<u8> {
-    let mut buckets = [0_u32; BUCKETS as usize];
+    let mut buckets = [0_u32; BUCKET_COUNT as usize];
     for (hash, checksum) in table.checksums() {
-        buckets[(hash % BUCKETS) as usize] ^= checksum;
+        buckets[(hash % BUCKET_COUNT) as usize] ^= checksum;
     }
     buckets.iter().flat_map(|sum| sum.to_be_bytes()).collect()
 }
@@ -47,14 +47,17 @@
     let mut members_by_bucket: BTreeMap<u32, Vec<(u32, u32)>> = BTreeMap::new();
     for (hash, checksum) in table.checksums() {
         members_by_bucket
-            .entry(hash % BUCKETS)
+            .entry(hash % BUCKET_COUNT)
             .or_default()
             .push((hash, checksum));
     }
     let mut mask = 0;
     let mut entries = Vec::new();
     let mut remaining = MAX_ENTRIES;
-    for bucket in (0..BUCKETS).map(|i| (first + i) % BUCKETS).filter(differs) {
+    for bucket in (0..BUCKET_COUNT)
+        .map(|i| (first + i) % BUCKET_COUNT)
+        .filter(differs)
+    {
         let members = members_by_bucket.remove(&bucket).unwrap_or_default();
         // A bucket that is too large on its own is truncated. The exchanges
         // that the other side starts repair the rest.
@@ -82,7 +85,7 @@
 ) -> (Vec<Update>, Vec<u8>) {
     let ours: BTreeMap<u32, u32> = table
         .checksums()
-        .filter(|(hash, _)| mask & (1 << (hash % BUCKETS)) != 0)
+        .filter(|(hash, _)| mask & (1 << (hash % BUCKET_COUNT)) != 0)
         .collect();
     let mut to_send = Vec::new();
     let mut to_request = Vec::new();
--- a/src/process/quota/bank/mint.rs
+++ b/src/process/quota/bank/mint.rs
@@ -11,7 +11,7 @@
         BorrowRequest, //
         LendReply,
     },
-    placement::SERVERS,
+    placement::SERVERS_PER_TEAM,
 };
 use crate::{
     clock::{
@@ -300,11 +300,11 @@
     fn mint_rate(&self, now: Time) -> Rate {
         self.share
             .rate
-            .scaled(MILLIS_PER_TOKEN * self.part_count(now) / SERVERS as u64)
+            .scaled(MILLIS_PER_TOKEN * self.part_count(now) / SERVERS_PER_TEAM as u64)
     }
 
     fn cap(&self, now: Time) -> u64 {
-        self.share.burst * self.part_count(now) / SERVERS as u64
+        self.share.burst * self.part_count(now) / SERVERS_PER_TEAM as u64
     }
 
     /// What the bucket may hold in addition to loans that may still be used.
@@ -332,7 +332,8 @@
         let free = self.bucket.millis().saturating_sub(reserve);
         let offered = free + request.brought_millis;
         let tokens = (offered / MILLIS_PER_TOKEN).min(u64::from(request.want));
-        let leaves_fraction = tokens == 0 && !request.last && self.part_count(now) < SERVERS as u64;
+        let leaves_fraction =
+            tokens == 0 && !request.last && self.part_count(now) < SERVERS_PER_TEAM as u64;
         let lent = match leaves_fraction {
             true => free,
             false => (tokens * MILLIS_PER_TOKEN).saturating_sub(request.brought_millis),
--- a/src/process/quota/bank/placement.rs
+++ b/src/process/quota/bank/placement.rs
@@ -11,7 +11,7 @@
 };
 
 /// Number of token servers of a team.
-pub(super) const SERVERS: usize = 3;
+pub(super) const SERVERS_PER_TEAM: usize = 3;
 
 #[derive(Clone, Debug)]
 struct Node {
@@ -45,13 +45,13 @@
     /// same servers.
     pub(super) fn servers(&self, team: &Team) -> Vec<Instance> {
         let team = xxh3_64(team.as_str().as_bytes());
-        let mut ranked: Vec<(u64, &Node)> = Vec::with_capacity(SERVERS + 1);
+        let mut ranked: Vec<(u64, &Node)> = Vec::with_capacity(SERVERS_PER_TEAM + 1);
         for node in &self.nodes {
             let weight = combine_hashes(node.hash, team);
             let rank = ranked.partition_point(|(other, _)| *other >= weight);
-            if rank < SERVERS {
+            if rank < SERVERS_PER_TEAM {
                 ranked.insert(rank, (weight, node));
-                ranked.truncate(SERVERS);
+                ranked.truncate(SERVERS_PER_TEAM);
             }
         }
         let instances = ranked.into_iter().map(|(_, node)| node.instance.clone());
--- a/src/standin/caller.rs
+++ b/src/standin/caller.rs
@@ -26,7 +26,7 @@
 };
 
 /// Time after which an unused connection is not used again.
-const KEEP: Span = Span::from_secs(4);
+const IDLE_TIMEOUT: Span = Span::from_secs(4);
 
 /// An answer, whole.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -68,7 +68,7 @@
 impl Caller {
     /// A caller of one node.
     pub fn new(address: SocketAddr) -> Self {
-        Self(Pool::new(address, KEEP, Names::own(), false))
+        Self(Pool::new(address, IDLE_TIMEOUT, Names::own(), false))
     }
 
     /// Sends a request without a body.
--- a/src/standin/crowd.rs
+++ b/src/standin/crowd.rs
@@ -60,15 +60,15 @@
 /// Bytes that a datagram carries beside the message: tag, UDP and IP.
 pub const OVERHEAD: usize = 16 + 8 + 20;
 /// Time between two ticks of the node.
-const TICK: Span = Span::from_ms(10);
+const TICK_INTERVAL: Span = Span::from_ms(10);
 /// One way to any other member.
-const DELAY: Span = Span::from_ms(5);
+const ONE_WAY_DELAY: Span = Span::from_ms(5);
 /// How often gossip of one change reaches a node, per decimal digit of the
 /// fleet: as often as each node sends it.
-const HEARD: u32 = 4;
+const GOSSIP_COPIES_PER_DIGIT: u32 = 4;
 /// Probes of one member a second, and exchanges that reach it a second.
-const PROBES: f64 = 2.0;
-const EXCHANGES: f64 = 0.1;
+const PROBES_PER_S: f64 = 2.0;
+const EXCHANGES_PER_S: f64 = 0.1;
 
 /// The size of a fleet and what happens in it.
 #[derive(Clone, Copy, Debug)]
@@ -252,7 +252,7 @@
         self.cost = Cost::default();
         let until = self.now + span;
         while self.now < until {
-            self.now += TICK;
+            self.now += TICK_INTERVAL;
             self.others();
             let due: Vec<_> = self
                 .queue
@@ -294,15 +294,15 @@
 
     /// What the other members send in one tick.
     fn others(&mut self) {
-        let tick = TICK.as_secs_f64();
-        if self.rng.random_bool(PROBES * tick) {
+        let tick = TICK_INTERVAL.as_secs_f64();
+        if self.rng.random_bool(PROBES_PER_S * tick) {
             let number = self.rng.random();
             let own = self.core.identity();
             let tag = member::incarnation_tag(&own.instance, own.incarnation);
             let message = self.member(Kind::Ping { number, tag }, Vec::new());
             self.arrive(message);
         }
-        if self.rng.random_bool(EXCHANGES * tick) {
+        if self.rng.random_bool(EXCHANGES_PER_S * tick) {
             let buckets = member::digest(self.rest.members()).into();
             let message = self.member(Kind::Digest { buckets }, Vec::new());
             self.arrive(message);
@@ -380,7 +380,7 @@
     /// Gossip that reaches the node as often as each node sends it.
     fn rumour(&mut self, after: Span, updates: Vec<Update>) {
         let digits = self.size.members.ilog10() + 1;
-        for _ in 0..HEARD * digits {
+        for _ in 0..GOSSIP_COPIES_PER_DIGIT * digits {
             let wait = after + Span::from_ms(self.rng.random_range(0..1500));
             let message = self.member(Kind::Gossip, updates.clone());
             let from = self.anyone();
@@ -485,8 +485,10 @@
             _ => Vec::new(),
         };
         for message in back {
-            self.queue
-                .push((self.now + DELAY + DELAY, What::In(to, message)));
+            self.queue.push((
+                self.now + ONE_WAY_DELAY + ONE_WAY_DELAY,
+                What::In(to, message),
+            ));
         }
     }
 
@@ -506,17 +508,17 @@
     fn store(&mut self, number: u64, call: store::Call) {
         let (after, answer) = match call {
             store::Call::Watch { wait, .. } => (wait, store::Answer::Quiet),
-            store::Call::List { .. } => (DELAY, store::Answer::Values(Vec::new())),
+            store::Call::List { .. } => (ONE_WAY_DELAY, store::Answer::Values(Vec::new())),
             store::Call::Grant { ttl } => {
                 let lease = id::Lease(1);
-                (DELAY, store::Answer::Leased { lease, ttl })
+                (ONE_WAY_DELAY, store::Answer::Leased { lease, ttl })
             }
             store::Call::Renew { lease } => {
                 let ttl = Span::from_secs(120);
-                (DELAY, store::Answer::Leased { lease, ttl })
+                (ONE_WAY_DELAY, store::Answer::Leased { lease, ttl })
             }
-            store::Call::Swap { .. } => (DELAY, store::Answer::Swapped(id::Revision(1))),
-            _ => (DELAY, store::Answer::Quiet),
+            store::Call::Swap { .. } => (ONE_WAY_DELAY, store::Answer::Swapped(id::Revision(1))),
+            _ => (ONE_WAY_DELAY, store::Answer::Quiet),
         };
         self.queue
             .push((self.now + after, What::Store(number, answer)));
--- a/src/standin/driver.rs
+++ b/src/standin/driver.rs
@@ -64,9 +64,9 @@
     store, //
 };
 
-const TICK: Span = Span::from_ms(10);
-const CONNECT: Span = Span::from_ms(20);
-const ABORT: Span = Span::from_ms(1);
+const TICK_INTERVAL: Span = Span::from_ms(10);
+const CONNECT_TIMEOUT: Span = Span::from_ms(20);
+const ABORT_DELAY: Span = Span::from_ms(1);
 /// The secret part of every key of the sites.
 const SECRET: &[u8] = b"secret";
 const STORE_TIMEOUT: Span = Span::from_secs(1);
@@ -361,7 +361,7 @@
         for event in [Event::UpstreamStarted(upstream), Event::UpstreamReady(true)] {
             self.push(self.now, What::Node(number, life, Box::new(event)));
         }
-        let first = self.now + Span::from_ms(number as u64 % TICK.as_ms());
+        let first = self.now + Span::from_ms(number as u64 % TICK_INTERVAL.as_ms());
         self.push(first, What::Tick(number));
     }
 
@@ -608,7 +608,7 @@
                     self.event(node, Event::Tick);
                     self.versions(node);
                     let jump = self.now.until(self.nodes[node].paused);
-                    self.push(self.now + jump + TICK, What::Tick(node));
+                    self.push(self.now + jump + TICK_INTERVAL, What::Tick(node));
                 }
             }
         }
--- a/src/standin/driver/net.rs
+++ b/src/standin/driver/net.rs
@@ -5,7 +5,7 @@
 use rand::RngExt;
 
 use super::{
-    CONNECT,
+    CONNECT_TIMEOUT,
     Driver,
     STORE_TIMEOUT,
     What,
@@ -94,7 +94,10 @@
         if self.cuts.contains(&pair(from, to)) || self.nodes[to].core.is_none() {
             let life = self.nodes[from].life;
             let mut fail = |event| {
-                self.push(self.now + CONNECT, What::Node(from, life, Box::new(event)));
+                self.push(
+                    self.now + CONNECT_TIMEOUT,
+                    What::Node(from, life, Box::new(event)),
+                );
             };
             if let Frame::Attempt { request, .. } = frame {
                 fail(Event::AttemptUnsent(request));
--- a/src/standin/driver/work.rs
+++ b/src/standin/driver/work.rs
@@ -14,7 +14,7 @@
         },
         promise::Promise,
     },
-    ABORT,
+    ABORT_DELAY,
     Driver,
     Upstream,
     What,
@@ -39,7 +39,7 @@
 };
 
 /// Time after which callers have heard that a node leaves.
-const HEARD: Span = Span::from_ms(500);
+const LEAVING_NOTICE_DELAY: Span = Span::from_ms(500);
 
 impl Driver {
     /// A node's upstream, to make it slow or ill.
@@ -104,7 +104,7 @@
         // A leaving node closes its callers' connections with the next answer.
         let left = |n: &usize| {
             let since = self.ledger.leaving.get(n);
-            since.is_some_and(|since| self.now.since(*since) > HEARD)
+            since.is_some_and(|since| self.now.since(*since) > LEAVING_NOTICE_DELAY)
         };
         let reachable = |n: &usize| self.nodes[*n].core.is_some() && !left(n);
         let nodes: Vec<usize> = match flow.nodes.is_empty() {
@@ -199,7 +199,10 @@
         if self.nodes[node].upstream.refusing {
             let life = self.nodes[node].life;
             let event = Event::AttemptEnded(request, inbound::End::Refused);
-            self.push(self.now + ABORT, What::Node(node, life, Box::new(event)));
+            self.push(
+                self.now + ABORT_DELAY,
+                What::Node(node, life, Box::new(event)),
+            );
             return;
         }
         let team = self.nodes[node].teams.remove(&request);
@@ -348,7 +351,10 @@
             .retain(|(waiting, _)| *waiting != request);
         let life = self.nodes[node].life;
         let event = Event::AttemptEnded(request, inbound::End::Aborted);
-        self.push(self.now + ABORT, What::Node(node, life, Box::new(event)));
+        self.push(
+            self.now + ABORT_DELAY,
+            What::Node(node, life, Box::new(event)),
+        );
         self.fill(node);
     }
 }
--- a/src/standin/ledger.rs
+++ b/src/standin/ledger.rs
@@ -24,10 +24,10 @@
 };
 
 /// Retries that a root may spend: what a route grants by default.
-const ALLOWANCE: u32 = 2;
+const MAX_RETRIES_PER_ROOT: u32 = 2;
 
 /// Time in which a leaving upstream may still receive new work.
-const GRACE: Span = Span::from_secs(2);
+const LEAVING_GRACE: Span = Span::from_secs(2);
 
 /// How one call ended, as its caller saw it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -153,7 +153,7 @@
         }
         let root = &mut self.jobs[job.root];
         root.again += 1;
-        if root.again > ALLOWANCE {
+        if root.again > MAX_RETRIES_PER_ROOT {
             let text = format!("call {} has spent {} retries", job.root, root.again);
             self.breach(now, Promise::Retries, text);
         }
@@ -184,7 +184,7 @@
 
     /// A node that was told to finish begins something new.
     pub fn begun_at(&mut self, now: Time, node: usize) {
-        let late = |since: &Time| now.since(*since) > GRACE;
+        let late = |since: &Time| now.since(*since) > LEAVING_GRACE;
         if self.leaving.get(&node).is_some_and(late) {
             self.breach(now, Promise::Leaving, format!("node {node} began new work"));
         }
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -53,7 +53,7 @@
 /// The largest call: a value that is all escapes, and its name.
 const CALL_LIMIT: usize = 2 * VALUE_LIMIT + 4096;
 /// How often a waiting watch looks for values that went with a lease.
-const LAPSE: Span = Span::from_ms(20);
+const LEASE_POLL_INTERVAL: Span = Span::from_ms(20);
 /// The longest time a watch may wait.
 const WAIT_LIMIT: Span = Span::from_secs(300);
 
@@ -221,7 +221,7 @@
                 None if now >= until => return quiet(call, *after),
                 None => {}
             }
-            let pause = now.until(until).min(LAPSE).to_std();
+            let pause = now.until(until).min(LEASE_POLL_INTERVAL).to_std();
             let _ = time::timeout(pause, written).await;
         }
     }
--- a/src/standin/play.rs
+++ b/src/standin/play.rs
@@ -31,19 +31,19 @@
 };
 
 /// Goodput counts as recovered at this share of what it was before.
-const RECOVERED: f64 = 0.95;
+const RECOVERED_SHARE: f64 = 0.95;
 /// Goodput is judged over steps of this length.
-const STEP: Span = Span::from_secs(1);
+const GOODPUT_STEP: Span = Span::from_secs(1);
 /// So many steps in a row must be good.
-const STEADY: u64 = 4;
+const STEADY_STEPS: u64 = 4;
 /// A request counts as answered soon within this time, tries included.
-const SOON: Span = Span::from_secs(2);
+const SOON_LIMIT: Span = Span::from_secs(2);
 
 /// How long nodes that begin alone get to find each other.
-const WARM: Span = Span::from_secs(30);
+const WARM_UP_TIME: Span = Span::from_secs(30);
 
 /// How long the last requests get to end.
-const REST: Span = Span::from_secs(10);
+const COOL_DOWN_TIME: Span = Span::from_secs(10);
 
 /// What became of one expectation.
 #[derive(Clone, Debug, PartialEq)]
@@ -128,7 +128,7 @@
         // What is under way must end before it is judged; else the last moment
         // counts as failed for the time that a request takes.
         play.load(0.0, None);
-        play.driver.run(begun + script.length + REST);
+        play.driver.run(begun + script.length + COOL_DOWN_TIME);
         for expectation in &script.expectations {
             let verdict = play.judge(expectation, script.length)?;
             play.verdicts.push(verdict);
@@ -151,7 +151,7 @@
         let mut driver = Driver::new(setup);
         if script.cold {
             driver.publish(&site.document()?)?;
-            driver.run_for(WARM);
+            driver.run_for(WARM_UP_TIME);
         }
         Ok(driver)
     }
@@ -352,8 +352,8 @@
     /// whole soon after.
     fn prompt(&self, at: Time) -> f64 {
         let items = self.driver.ledger.items.iter();
-        let begun = items.filter(|item| item.begun >= at && item.begun < at + STEP);
-        let whole = |item: &Item| item.whole.is_some_and(|w| w <= item.begun + SOON);
+        let begun = items.filter(|item| item.begun >= at && item.begun < at + GOODPUT_STEP);
+        let whole = |item: &Item| item.whole.is_some_and(|w| w <= item.begun + SOON_LIMIT);
         share(begun.fold((0, 0), |(all, good), i| {
             (all + 1, good + u64::from(whole(i)))
         }))
@@ -361,11 +361,11 @@
 
     /// The time until a run of steps is as good as before.
     fn recovery(&self, after: Time, until: Time) -> f64 {
-        let before = self.prompt(self.begun + STEP);
-        let good = |at: Time| self.prompt(at) >= before * RECOVERED;
+        let before = self.prompt(self.begun + GOODPUT_STEP);
+        let good = |at: Time| self.prompt(at) >= before * RECOVERED_SHARE;
         let mut at = after;
-        while at + STEP.scale(STEADY as f64) + SOON <= until {
-            let steps = (0..STEADY).map(|step| at + STEP.scale(step as f64));
+        while at + GOODPUT_STEP.scale(STEADY_STEPS as f64) + SOON_LIMIT <= until {
+            let steps = (0..STEADY_STEPS).map(|step| at + GOODPUT_STEP.scale(step as f64));
             if steps.into_iter().all(good) {
                 return at.since(after).as_ms() as f64;
             }
--- a/src/standin/rates.rs
+++ b/src/standin/rates.rs
@@ -57,10 +57,10 @@
 const REFRESH_MS: u64 = 100;
 /// How long a record outlives its node, and how long a node counts itself in.
 const RECORD_TTL: Span = Span::from_secs(6);
-const CONFIRMED: Span = Span::from_secs(4);
+const MEMBERSHIP_VALIDITY: Span = Span::from_secs(4);
 const DOMAIN_COUNT: usize = 5;
 /// When the fleet begins: after whatever times are looked back to.
-const BEGIN: Time = Time::from_ms(60_000);
+const START_TIME: Time = Time::from_ms(60_000);
 
 /// What a fleet is made of.
 #[derive(Clone, Debug)]
@@ -174,10 +174,10 @@
             cut: false,
             unlisted: false,
             since: Time::ZERO,
-            record: BEGIN + RECORD_TTL,
+            record: START_TIME + RECORD_TTL,
             view: Vec::new(),
-            viewed: BEGIN,
-            next_view: BEGIN,
+            viewed: START_TIME,
+            next_view: START_TIME,
             calls: Vec::new(),
             held_up: VecDeque::new(),
         };
@@ -191,16 +191,16 @@
             }
             chosen
         });
-        let full = |team: &Team| Bucket::with_millis(u64::from(team.burst) * 1000, BEGIN);
+        let full = |team: &Team| Bucket::with_millis(u64::from(team.burst) * 1000, START_TIME);
         let mut fleet = Self {
-            now: BEGIN,
+            now: START_TIME,
             clients: clients.collect(),
             nodes: peers.iter().map(node).collect(),
             wires: BTreeMap::new(),
             sent: 0,
             served: vec![Served::default(); teams.len()],
             ideal: teams.iter().map(full).collect(),
-            spare: vec![(i128::MAX, BEGIN); teams.len()],
+            spare: vec![(i128::MAX, START_TIME); teams.len()],
             excess: vec![0.0; teams.len()],
             critical: 0.0,
             rng,
@@ -209,7 +209,7 @@
             teams,
         };
         for node in &mut fleet.nodes {
-            node.bank.set_teams(BEGIN, &fleet.teams);
+            node.bank.set_teams(START_TIME, &fleet.teams);
         }
         fleet.run(Span::from_secs(3), 0.0);
         fleet
@@ -392,7 +392,7 @@
         let now = self.now;
         let adopting = &self.nodes[node];
         let is_new = |since: Time| now.since(since) < MAX_VIEW_AGE;
-        let mut until = adopting.viewed + CONFIRMED.min(MAX_VIEW_AGE);
+        let mut until = adopting.viewed + MEMBERSHIP_VALIDITY.min(MAX_VIEW_AGE);
         let mut counted = Vec::new();
         for (other, since) in &adopting.view {
             match is_new(*since) {
--- a/src/standin/trial.rs
+++ b/src/standin/trial.rs
@@ -30,10 +30,10 @@
 /// Tries of a caller after its first, when callers try again.
 pub const RETRIES: u32 = 5;
 /// The load before and after a surge, in percent of capacity.
-const BASE: u64 = 60;
+const BASE_LOAD_PERCENT: u64 = 60;
 /// How long a trial runs before its fault.
-const WARM: Span = Span::from_secs(10);
-const SECOND: u64 = 1000;
+const WARM_UP_TIME: Span = Span::from_secs(10);
+const SECOND_MS: u64 = 1000;
 
 /// What a surge of demand leads to.
 #[derive(Clone, Copy, Debug)]
@@ -141,10 +141,10 @@
 /// Demand at three times the capacity for `span`, with callers that retry.
 pub fn surge(site: &Site, policy: Policy, seed: u64, span: Span) -> Surge {
     let mut driver = driver(site.setup(seed), policy);
-    let base = site.flows(BASE, RETRIES);
+    let base = site.flows(BASE_LOAD_PERCENT, RETRIES);
     let high = site.flows(300, RETRIES);
     let flows: Vec<usize> = base.iter().cloned().map(|f| driver.flow(f)).collect();
-    driver.run_for(WARM);
+    driver.run_for(WARM_UP_TIME);
     let begun = driver.now();
     rates(&mut driver, &flows, &high);
     driver.run_for(span);
@@ -155,7 +155,11 @@
     let until = driver.now();
     let series = whole_by_second(&driver);
     let served: u64 = seconds(begun, ended).map(|s| at(&before, s)).sum();
-    let steady = mean(&series, begun.as_ms() / SECOND - 5, begun.as_ms() / SECOND);
+    let steady = mean(
+        &series,
+        begun.as_ms() / SECOND_MS - 5,
+        begun.as_ms() / SECOND_MS,
+    );
     Surge {
         goodput: served as f64 / (site.capacity as f64 * span.as_secs_f64()),
         critical: share(&driver, begun, ended, |f| {
@@ -173,7 +177,7 @@
     for flow in site.flows(80, RETRIES) {
         driver.flow(flow);
     }
-    driver.run_for(WARM);
+    driver.run_for(WARM_UP_TIME);
     let begun = driver.now();
     let deepest = site.services.last().map(|s| s.pool.as_str().to_owned());
     let slow = driver.pool(deepest.as_deref().unwrap_or_default());
@@ -184,9 +188,9 @@
     driver.run_for(Span::from_secs(60));
     let until = driver.now();
     let series = whole_by_second(&driver);
-    let (first, last) = (begun.as_ms() / SECOND, ended.as_ms() / SECOND);
+    let (first, last) = (begun.as_ms() / SECOND_MS, ended.as_ms() / SECOND_MS);
     let steady = mean(&series, first - 5, first);
-    let end = until.as_ms() / SECOND;
+    let end = until.as_ms() / SECOND_MS;
     Slowdown {
         during: mean(&series, first, last) / steady,
         recovery: recovery(&series, steady, ended, until),
@@ -206,7 +210,7 @@
     for flow in site.flows(80, RETRIES) {
         driver.flow(flow);
     }
-    driver.run_for(WARM);
+    driver.run_for(WARM_UP_TIME);
     let begun = driver.now();
     (0..driver.len()).for_each(|node| driver.crash(node));
     let before = driver.crashes();
@@ -215,9 +219,9 @@
     driver.run_for(Span::from_secs(30));
     let until = driver.now();
     let series = whole_by_second(&driver);
-    let first = begun.as_ms() / SECOND;
+    let first = begun.as_ms() / SECOND_MS;
     let steady = mean(&series, first - 5, first);
-    let end = until.as_ms() / SECOND;
+    let end = until.as_ms() / SECOND_MS;
     Outage {
         crashes: driver.crashes() - before,
         recovery: recovery(&series, steady, ended, until),
@@ -237,7 +241,7 @@
     for flow in site.flows(50, 0) {
         driver.flow(flow);
     }
-    driver.run_for(WARM);
+    driver.run_for(WARM_UP_TIME);
     let inside = driver.domain(site.domains[0]);
     if is_heard {
         order(&mut driver, &mut site, true);
@@ -300,7 +304,7 @@
         }
         driver.flow(flow);
     }
-    driver.run_for(WARM);
+    driver.run_for(WARM_UP_TIME);
     let begun = driver.now();
     driver.run_for(span);
     let ended = driver.now();
@@ -318,7 +322,7 @@
     for flow in site.flows(50, 0) {
         driver.flow(flow);
     }
-    driver.run_for(WARM);
+    driver.run_for(WARM_UP_TIME);
     let begun = driver.now();
     let deepest = site.services.last().map(|s| s.pool.as_str().to_owned());
     let one = driver.pool(deepest.as_deref().unwrap_or_default())[0];
@@ -436,14 +440,14 @@
     let mut series = BTreeMap::new();
     for item in &driver.ledger.items {
         if let Some(at) = item.whole {
-            *series.entry(at.as_ms() / SECOND).or_default() += 1;
+            *series.entry(at.as_ms() / SECOND_MS).or_default() += 1;
         }
     }
     series
 }
 
 fn seconds(from: Time, until: Time) -> std::ops::Range<u64> {
-    from.as_ms() / SECOND..until.as_ms() / SECOND
+    from.as_ms() / SECOND_MS..until.as_ms() / SECOND_MS
 }
 
 fn at(series: &BTreeMap<u64, u64>, second: u64) -> u64 {
@@ -458,8 +462,8 @@
 /// Seconds from `ended` until goodput is back at 95 % of `steady` and is so, in
 /// the mean, for three seconds.
 fn recovery(series: &BTreeMap<u64, u64>, steady: f64, ended: Time, until: Time) -> Option<u64> {
-    let from = ended.as_ms() / SECOND;
-    let last = until.as_ms() / SECOND - 3;
+    let from = ended.as_ms() / SECOND_MS;
+    let last = until.as_ms() / SECOND_MS - 3;
     (from..last)
         .find(|second| mean(series, *second, *second + 3) >= steady * 0.95)
         .map(|second| second - from)
