Check a store that compacts its history by a listing

For a second such a store answers no call that waits for changes, also not one that waits for no time, and then cuts them. So watchers could not check it, their askers left them one after the other, and in the end every node asked the store.

A watcher's check is now a listing, which the store answers meanwhile, on a connection of its own like the check of any node. Under bounds longer than 2 s a watcher may be silent for longer, up to 1.7 s, as far as the bound on withdrawn keys allows; then waits are seldom shortened after a change.

--- a/src/process/contact.rs
+++ b/src/process/contact.rs
@@ -33,13 +33,15 @@
 /// Shares of the bound. The rest of the bound after [`CHECK_SHARE`] is left for the check
 /// itself.
 const WAIT_SHARE: f64 = 0.45;
-const OVERDUE_SHARE: f64 = 0.15;
+const OVERDUE_SHARE: f64 = 0.6;
 const WATCHER_SHARE: f64 = 0.05;
+const ANSWER_SHARE: f64 = 0.15;
 const CHECK_SHARE: f64 = 0.75;
-/// Upper limits of the times that are added to the wait. They keep the detection of a
-/// silent watcher fast if the bound is long.
-const MAX_OVERDUE: Span = Span::from_ms(300);
+/// Upper limits of these times. Behind a silent watcher the confirmations of the
+/// configuration grow old as well, however long the bound on changes is.
+const MAX_OVERDUE: Span = Span::from_ms(1700);
 const MAX_WATCHER_MARGIN: Span = Span::from_ms(100);
+const MAX_ANSWER: Span = Span::from_ms(300);
 /// Longest time that watchers have, once the store answers again, to pass on its news
 /// before a node checks itself.
 const MAX_RECOVERY_DELAY: Span = Span::from_ms(500);
@@ -62,14 +64,12 @@
 impl Limits {
     /// The limits with which a change is in force within `bound`.
     pub fn within(bound: Span) -> Self {
-        let wait = bound.scale(WAIT_SHARE).min(MAX_WAIT);
-        let margin = bound.scale(OVERDUE_SHARE).min(MAX_OVERDUE);
-        let overdue = wait + margin;
+        let overdue = bound.scale(OVERDUE_SHARE).min(MAX_OVERDUE);
         Self {
-            wait,
+            wait: bound.scale(WAIT_SHARE).min(MAX_WAIT),
             overdue,
             watcher: overdue + bound.scale(WATCHER_SHARE).min(MAX_WATCHER_MARGIN),
-            answer: margin,
+            answer: bound.scale(ANSWER_SHARE).min(MAX_ANSWER),
             check: bound.scale(CHECK_SHARE),
         }
     }
@@ -177,11 +177,13 @@
         heard.min().map(|at| *at + limit)
     }
 
-    /// The wait of the next call about a topic. It is shorter after a call that was
-    /// answered early, so that the silence does not add up over two calls.
+    /// The wait of the next call about a topic. It may be shorter after a call that was
+    /// answered early, so that the silence of both together is not taken for a loss.
     pub fn next_wait(&self, topic: Topic, now: Time) -> Span {
+        let limits = &self.limits;
         let silence = self.silence(topic, now).unwrap_or(Span::ZERO);
-        (self.limits.wait - silence).max(MIN_WAIT.min(self.limits.wait))
+        let left = limits.overdue - limits.answer - silence;
+        left.max(MIN_WAIT).min(limits.wait)
     }
 
     /// Whether the store is known not to answer this node.
--- a/src/process/node/listed/inquiry.rs
+++ b/src/process/node/listed/inquiry.rs
@@ -166,9 +166,12 @@
             return;
         };
         self.counts.add(Counter::StoreChecked(topic));
+        // A store that compacts its history withholds changes from all that wait for them,
+        // but not from a listing. The watchers make one, so that other nodes need not.
+        let after = discovery.watcher.revision(topic);
         let query = Query {
             topic,
-            after: discovery.watcher.revision(topic),
+            after: after.filter(|_| !is_watching),
             sent: now,
             wait: Span::ZERO,
         };
--- a/src/standin/driver.rs
+++ b/src/standin/driver.rs
@@ -114,6 +114,9 @@
     pub slow: Span,
     /// The share of answers that are lost after the call took effect.
     pub lost: f64,
+    /// Calls that wait for changes hear nothing, and are not answered when their wait is
+    /// over.
+    pub deaf: bool,
     /// Listed values that the store sends per millisecond to all nodes together; zero:
     /// no limit.
     pub listed_per_ms: f64,
@@ -585,8 +588,9 @@
                 call,
             } => self.asked(node, life, number, call),
             What::Quiet { node, life, number } => {
+                let is_deaf = self.weather.deaf;
                 let is_over = |w: &mut (usize, u64, u64, store::Call)| {
-                    (w.0, w.1, w.2) == (node, life, number)
+                    !is_deaf && (w.0, w.1, w.2) == (node, life, number)
                 };
                 let over: Vec<_> = self.watches.extract_if(.., is_over).collect();
                 for (_, _, _, call) in over {
--- a/src/standin/driver/net.rs
+++ b/src/standin/driver/net.rs
@@ -186,7 +186,9 @@
             self.lost_calls += 1;
             return reply(self, STORE_TIMEOUT, store::Answer::Lost);
         }
-        match self.store.on(self.now, &call) {
+        let answer = self.store.on(self.now, &call);
+        let is_unheard = self.weather.deaf && call.after().is_some();
+        match answer.filter(|_| !is_unheard) {
             Some(_) if self.rng.random_bool(self.weather.lost) => {
                 reply(self, STORE_TIMEOUT, store::Answer::Lost);
             }
@@ -224,9 +226,23 @@
         self.now.until(self.listed_until)
     }
 
+    /// Ends the deafness of the store as a compaction does: its history is gone, and all
+    /// calls that wait are cut.
+    pub fn compact(&mut self) {
+        self.weather.deaf = false;
+        self.store.compact();
+        for (node, life, number, _) in std::mem::take(&mut self.watches) {
+            let cut = Box::new(Event::StoreAnswer(number, store::Answer::Lost));
+            self.push(self.now, What::Node(node, life, cut));
+        }
+    }
+
     /// Answers the watches that have news, after a write.
     pub fn notify(&mut self) {
         self.store.expire(self.now);
+        if self.weather.deaf {
+            return;
+        }
         let mut rest = Vec::new();
         for (node, life, number, call) in std::mem::take(&mut self.watches) {
             let news = self.store.waited(&call);
--- a/src/standin/keyvalue.rs
+++ b/src/standin/keyvalue.rs
@@ -42,6 +42,8 @@
     values: BTreeMap<String, Value>,
     leases: BTreeMap<Lease, Held>,
     revision: u64,
+    /// Changes up to this revision are no longer told.
+    compacted: Revision,
     next_lease: u64,
     calls: u64,
     writes: u64,
@@ -129,6 +131,7 @@
     pub fn waited(&self, call: &Call) -> Option<Answer> {
         match call {
             Call::Watch { key, after, .. } => self.news(key, *after),
+            Call::Follow { after, .. } if *after < self.compacted => Some(Answer::Compacted),
             Call::Follow { prefix, after, .. } => self.changes(prefix, *after),
             _ => None,
         }
@@ -151,6 +154,11 @@
         })
     }
 
+    /// Drops the history: a call that waits for changes since before is refused.
+    pub fn compact(&mut self) {
+        self.compacted = Revision(self.revision);
+    }
+
     /// Ends the leases whose time is over, with their values.
     pub fn expire(&mut self, now: Time) {
         let over = |held: &Held| held.until <= now;
--- a/tests/fleet/propagation.rs
+++ b/tests/fleet/propagation.rs
@@ -314,6 +314,50 @@
     an_outage_at_120_nodes => (40),
 }
 
+/// Guards against a rush of all nodes to a store that withholds changes for a second, as
+/// while it compacts its history, and against a change that is lost there.
+fn a_compaction_costs_few_calls(domain_size: usize, bound: Span) {
+    let mut fleet = Fleet::with(domain_size, bound);
+    let asked = |fleet: &Fleet| {
+        let store = &fleet.driver.store;
+        store.calls_under("operators") + store.calls_under("bluebellswitch")
+    };
+    let window = Span::from_secs(5);
+    let rounds = 8;
+    let mut steady = 0;
+    let mut compacting = 0;
+    for round in 0..rounds {
+        fleet.driver.run_for(RECOVERY + Span::from_ms(round * 110));
+        let before = asked(&fleet);
+        fleet.driver.run_for(window);
+        steady += asked(&fleet) - before;
+        let before = asked(&fleet);
+        fleet.driver.weather.deaf = true;
+        fleet.driver.run_for(Span::from_ms(300));
+        fleet.write(Written::Configuration);
+        fleet.driver.run_for(Span::from_ms(700));
+        fleet.driver.compact();
+        fleet.driver.run_for(window - Span::from_secs(1));
+        compacting += asked(&fleet) - before;
+        let late = (0..fleet.driver.len())
+            .filter(|node| !fleet.is_in_force(Written::Configuration, *node))
+            .count();
+        assert_eq!(late, 0, "nodes without the change in round {round}");
+    }
+    // A watcher checks and then lists both topics; a second one may take over.
+    let most = steady + rounds * DOMAINS * 2 * 2 * 3;
+    assert!(
+        compacting <= most,
+        "{compacting} calls, {steady} in steady state"
+    );
+}
+
+cases! { a_compaction_costs_few_calls:
+    a_compaction_at_12_nodes => (4, BOUND),
+    a_compaction_at_60_nodes => (20, BOUND),
+    a_compaction_at_120_nodes => (40, Span::from_ms(4000)),
+}
+
 /// Guards against a node that starts beside an introducer which has lost the store, and
 /// serves by the old configuration that it gets from there.
 #[test]
