--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -19,6 +19,8 @@
 mod freshness;
 #[path = "fleet/introducer.rs"]
 mod introducer;
+#[path = "fleet/listed.rs"]
+mod listed;
 #[path = "fleet/membership.rs"]
 mod membership;
 #[path = "fleet/propagation.rs"]
--- a/tests/fleet/introducer.rs
+++ b/tests/fleet/introducer.rs
@@ -1,33 +1,22 @@
 //! A start of many nodes at once, where the store lists the members.
 
 use bluebellswitch::{
-    Result,
     clock::{
         Span,
         Time, //
     },
-    document::Snapshot,
     id::{
         Incarnation,
         Revision,
         Version, //
     },
-    interface::Source,
     introducer::Introduction,
     member::{
         Peer,
         Status, //
     },
-    node::{
-        Bounds,
-        Core, //
-    },
-    standin::driver::{
-        Driver,
-        Net,
-        Service,
-        Setup, //
-    },
+    node::Bounds,
+    standin::driver::Driver,
     store::{
         Answer,
         Call,
@@ -35,59 +24,11 @@
     },
 };
 
-const KEY: &str = "operators/configuration";
-
-fn read(text: &str) -> Result<Snapshot> {
-    Ok(Snapshot {
-        version: text.parse::<Version>()?,
-        ..Snapshot::default()
-    })
-}
-
-fn discover(core: &mut Core) {
-    let source = Source {
-        prefix: KEY,
-        key: KEY,
-        evacuated: |_| None,
-        read,
-    };
-    core.enable_store_discovery(source, Bounds::default());
-}
+use crate::listed;
 
 /// A fleet in three failure domains that starts all at once.
 fn fleet(nodes: usize) -> Driver {
-    let mut driver = Driver::new(Setup {
-        seed: 7,
-        domains: vec!["a", "b", "c"],
-        services: vec![Service {
-            pool: "registry".parse().expect("a name"),
-            instances: vec![nodes / 3; 3],
-            slots: 50,
-            work: Span::from_ms(5),
-            nested: vec![],
-        }],
-        snapshot: None,
-        acquainted: false,
-        net: Net {
-            near: Span::from_ms(0),
-            far: Span::from_ms(1),
-            jitter: Span::from_ms(1),
-            loss: 0.0,
-            double: 0.0,
-            cross: 0.0,
-            silent: false,
-        },
-        spy: false,
-        prepare: Box::new(discover),
-    });
-    let call = Call::Put {
-        key: KEY.to_owned(),
-        value: "1".to_owned(),
-        lease: None,
-    };
-    let now = driver.now();
-    driver.store.on(now, &call);
-    driver
+    listed::fleet(nodes / 3, Bounds::default().propagation, false)
 }
 
 /// Whether every living node knows all others and the configuration.
--- a/tests/fleet/propagation.rs
+++ b/tests/fleet/propagation.rs
@@ -2,37 +2,25 @@
 //! the store, whatever happens to the nodes that it hears from.
 
 use bluebellswitch::{
-    Result,
     clock::{
         Span,
         Time, //
     },
-    document::Snapshot,
+    directory::RECORD_PREFIX,
     id::{
         Incarnation,
         Instance,
         Version, //
     },
-    interface::Source,
     member::{
         Peer,
         Status, //
     },
-    node::{
-        Bounds,
-        Core, //
-    },
-    standin::driver::{
-        Driver,
-        Net,
-        Service,
-        Setup, //
-    },
-    store::Call,
+    standin::driver::Driver,
 };
 
-const KEY: &str = "operators/configuration";
-const MEMBERS: &str = "bluebellswitch/nodes/";
+use crate::listed;
+
 /// The operators' bound on changes of routes and of members.
 const BOUND: Span = Span::from_ms(2000);
 /// How long a node must have been undisturbed before the bound holds for it.
@@ -49,27 +37,6 @@
 /// Number of disturbances in each test.
 const ROUNDS: usize = 72;
 
-fn read(text: &str) -> Result<Snapshot> {
-    Ok(Snapshot {
-        version: text.parse::<Version>()?,
-        ..Snapshot::default()
-    })
-}
-
-fn discover(core: &mut Core, bound: Span) {
-    let source = Source {
-        prefix: KEY,
-        key: KEY,
-        evacuated: |_| None,
-        read,
-    };
-    let bounds = Bounds {
-        propagation: bound,
-        ..Bounds::default()
-    };
-    core.enable_store_discovery(source, bounds);
-}
-
 /// What happens to some nodes.
 #[derive(Clone, Copy, Debug)]
 enum Trouble {
@@ -101,51 +68,15 @@
 
     /// A fleet of three failure domains that have found each other.
     fn with(domain_size: usize, bound: Span) -> Self {
-        let driver = Driver::new(Setup {
-            seed: 7,
-            domains: vec!["a", "b", "c"],
-            services: vec![Service {
-                pool: "registry".parse().expect("a name"),
-                instances: vec![domain_size; 3],
-                slots: 50,
-                work: Span::from_ms(5),
-                nested: vec![],
-            }],
-            snapshot: None,
-            acquainted: false,
-            net: Net {
-                near: Span::from_ms(0),
-                far: Span::from_ms(1),
-                jitter: Span::from_ms(1),
-                loss: 0.0,
-                double: 0.0,
-                cross: 0.0,
-                silent: true,
-            },
-            spy: false,
-            prepare: Box::new(move |core| discover(core, bound)),
-        });
         let mut fleet = Self {
-            driver,
-            version: 0,
+            driver: listed::fleet(domain_size, bound, true),
+            version: 1,
             bound,
         };
-        fleet.write(Written::Configuration);
         fleet.driver.run_for(Span::from_secs(10));
         fleet
     }
 
-    fn put(&mut self, key: String, value: String) {
-        let now = self.driver.now();
-        let call = Call::Put {
-            key,
-            value,
-            lease: None,
-        };
-        self.driver.store.on(now, &call);
-        self.driver.notify();
-    }
-
     fn newcomer(&self) -> Instance {
         format!("newcomer-{}", self.version)
             .parse()
@@ -156,7 +87,9 @@
     fn write(&mut self, written: Written) {
         self.version += 1;
         match written {
-            Written::Configuration => self.put(KEY.to_owned(), self.version.to_string()),
+            Written::Configuration => {
+                listed::put(&mut self.driver, listed::KEY, &self.version.to_string());
+            }
             Written::Member => {
                 let address = "10.9.9.9:7000".parse().expect("an address");
                 let peer = Peer {
@@ -170,7 +103,8 @@
                     ready: true,
                 };
                 let value = serde_json::to_string(&peer).expect("a record");
-                self.put(format!("{MEMBERS}{}", peer.instance), value);
+                let key = format!("{RECORD_PREFIX}{}", peer.instance);
+                listed::put(&mut self.driver, &key, &value);
             }
         }
     }
