--- a/src/process/carrier.rs
+++ b/src/process/carrier.rs
@@ -248,12 +248,16 @@
         self.upstream_tracker
             .borrow_mut()
             .set_heartbeat(newer.heartbeat);
-        self.core.borrow_mut().set_bounds(bounds);
+        let mut core = self.core.borrow_mut();
+        core.set_bounds(bounds);
+        core.set_scheduling(newer.scheduling);
+        drop(core);
         self.settings.replace(Rc::new(Settings {
             limits: newer.limits,
             grace: newer.grace,
             heartbeat: newer.heartbeat,
             bounds: newer.bounds,
+            scheduling: newer.scheduling,
             operators_token: newer.operators_token,
             ..(*previous).clone()
         }));
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -53,7 +53,10 @@
         Kind, //
     },
     outcome::Report,
-    policy::Policy,
+    policy::{
+        Policy,
+        Scheduling, //
+    },
     quota::Holder,
     record::Claim,
     store,
@@ -400,6 +403,11 @@
         self.policy = policy;
     }
 
+    /// Selects which mechanisms for scarce and uneven capacity are enabled.
+    pub fn set_scheduling(&mut self, scheduling: Scheduling) {
+        self.policy.scheduling = scheduling;
+    }
+
     /// Returns when request processing or discovery next needs an
     /// [`Event::Tick`].
     pub fn due(&self) -> Time {
--- a/src/process/server.rs
+++ b/src/process/server.rs
@@ -218,6 +218,7 @@
                 ..Policy::default()
             });
         }
+        core.set_scheduling(settings.scheduling);
         let carrier = Carrier::new(me, settings, interface, core, socket, store);
         let mut server = Self {
             carrier,
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -27,6 +27,7 @@
         Result, //
     },
     id,
+    policy::Scheduling,
     source::DIALECT,
     unit::Size, //
 };
@@ -151,6 +152,9 @@
     /// Limits that apply before authentication.
     #[serde(default)]
     pub limits: Limits,
+    /// Mechanisms for scarce and uneven capacity; all are off by default.
+    #[serde(default)]
+    pub scheduling: Scheduling,
     /// Link addresses of other nodes, used to discover the members.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
--- a/src/request/policy.rs
+++ b/src/request/policy.rs
@@ -3,6 +3,8 @@
 //! A node starts with [`Policy::default`]. Measurements and tests disable single
 //! mechanisms, or replace them with well-known simpler ones, in the same code.
 
+use serde::Deserialize;
+
 use crate::clock::Span;
 
 /// Default of [`Policy::max_token_wait`]. A failed owner of a team's rate has been
@@ -39,6 +41,20 @@
     Allowance,
 }
 
+/// Mechanisms for scarce and uneven capacity, which the settings of a node enable.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Scheduling {
+    /// Spends scarce retries on the calls of a few requests, so that these complete.
+    pub chain_retries: bool,
+    /// Avoids instances that have stopped answering, and retries what they hold.
+    pub stall_detection: bool,
+    /// Prefers fast instances while slots are free.
+    pub speed_balancing: bool,
+    /// Sends a share of a pool's calls to failure domains with lower utilization.
+    pub domain_shares: bool,
+}
+
 /// The overload control mechanisms of a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Policy {
@@ -81,6 +97,8 @@
     pub prefer_local_domain: bool,
     /// Ejects failing instances for a while.
     pub ejection: bool,
+    /// Mechanisms for scarce and uneven capacity.
+    pub scheduling: Scheduling,
 }
 
 impl Policy {
@@ -121,6 +139,7 @@
             load_balancing: true,
             prefer_local_domain: true,
             ejection: true,
+            scheduling: Scheduling::default(),
         }
     }
 }
--- a/tests/path/settings.rs
+++ b/tests/path/settings.rs
@@ -1,6 +1,9 @@
 //! Settings that are wrong say where and why.
 
-use bluebellswitch::settings::Settings;
+use bluebellswitch::{
+    policy::Scheduling,
+    settings::Settings, //
+};
 
 use crate::bench;
 
@@ -16,6 +19,24 @@
     assert_eq!(settings.limits.half_open, 64);
 }
 
+/// A deployment that does not ask for a mechanism is served as before.
+#[test]
+fn mechanisms_for_uneven_capacity_are_off_by_default() {
+    let settings = Settings::parse(&good()).expect("good");
+    assert_eq!(settings.scheduling, Scheduling::default());
+    let text = good().replacen(
+        "\"limits\": {}",
+        "\"scheduling\": { \"chain_retries\": true }",
+        1,
+    );
+    let settings = Settings::parse(&text).expect("good");
+    let expected = Scheduling {
+        chain_retries: true,
+        ..Scheduling::default()
+    };
+    assert_eq!(settings.scheduling, expected);
+}
+
 /// Secrets are not shown, whoever prints the settings.
 #[test]
 fn secrets_are_hidden() {
@@ -41,6 +62,10 @@
 cases! { bad:
     unknown_field => ("\"upstream\":", "\"upstreem\":", 4002, 6, "upstreem"),
     unknown_limit => ("\"limits\": {}", "\"limits\": { \"heads\": \"1KiB\" }", 4002, 9, "heads"),
+    unknown_mechanism => (
+        "\"limits\": {}", "\"scheduling\": { \"retries\": true }", 4002, 9, "retries"),
+    mechanism_without_boolean => (
+        "\"limits\": {}", "\"scheduling\": { \"chain_retries\": 1 }", 4002, 9, "boolean"),
     missing_field => ("\"instance\": \"edge\",", "", 4002, 10, "instance"),
     no_name => ("\"edge\"", "\"e d\"", 4002, 3, "e d"),
     no_address => ("\"127.0.0.1:0\"", "\"here\"", 4002, 4, "address"),
