Answer requests for tokens from nodes that are not members

Callers saw: a third of the nodes were cut off for 12 s. After their return each of them refused every call with 2002 (no rate token) for 1.6 s, 4,110 refusals in two seconds, while the other nodes refused none.

Cause: the log of such a node shows calls that wait the whole 150 ms for a token although its datagrams reach the token servers again. A server sends its answer to the datagram address of the member, and the borrower is no member until it has registered in the store again, which took until 1.5 s after the return. The answer was dropped.

Change: an answer for a node that is not a member goes to the source address of its request. Lending to it is safe, since a loan counts against the bucket of its server for its lifetime whoever uses it. The new test fails without the change.

--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -668,7 +668,7 @@
             (Message::Adoption(message), _) => self.on_adoption_message(now, message, out),
             (Message::Lease(message), _) => self.on_lease_message(now, message, out),
             (Message::Quota(message), _) => self.on_quota_message(now, message, out),
-            (Message::Bank(message), _) => self.on_bank_message(now, message, out),
+            (Message::Bank(message), from) => self.on_bank_message(now, from, message, out),
             (Message::Feed(message), _) => self.on_feed_message(now, message, out),
             (Message::Record(message), _) => self.on_record_message(now, message, out),
         }
--- a/src/process/quota/bank.rs
+++ b/src/process/quota/bank.rs
@@ -356,6 +356,13 @@
         std::mem::take(&mut self.outbox)
     }
 
+    /// Removes and returns the messages to be sent to this node.
+    pub fn take_messages_to(&mut self, to: &Instance) -> Vec<Message> {
+        let to_node = |(receiver, _): &mut (Instance, Message)| receiver == to;
+        let messages = self.outbox.extract_if(.., to_node);
+        messages.map(|(_, message)| message).collect()
+    }
+
     fn request_parts(&mut self, now: Time) {
         self.part_requests
             .retain(|_, asked| now.since(*asked) < DELEGATION_LIFE);
--- a/tests/rights.rs
+++ b/tests/rights.rs
@@ -9,6 +9,8 @@
 mod fleet;
 #[path = "rights/seats.rs"]
 mod seats;
+#[path = "rights/unlisted_borrower.rs"]
+mod unlisted_borrower;
 #[path = "rights/window.rs"]
 mod window;
 #[path = "rights/wire.rs"]
