Attribution: learn the time until the first call from ended requests

Cause: under load several requests may have made a first call at any time, so the usual time until it was learned late or from wrong samples. Change: when a request ends and a single chain of calls was answered just before, the time until that chain began is a sample.

--- a/src/request/inbound/caller.rs
+++ b/src/request/inbound/caller.rs
@@ -62,6 +62,8 @@
 const MAX_SAMPLE_RATIO: f64 = 4.0;
 /// Time that is added to that limit, for usual times near zero.
 const MAX_SAMPLE_MARGIN: f64 = 5.0;
+/// Time after the response to its last call within which a request is expected to end.
+const RESPONSE_DELAY: Span = Span::from_ms(5);
 /// Maximum number of pairs of routes with a known time until the first call.
 const MAX_FIRST_CALLS: usize = 1024;
 
@@ -80,6 +82,16 @@
 struct LastCall {
     attempt: id::Request,
     answered: Option<Time>,
+    /// When the first of its chain arrived: the calls that follow each other on the
+    /// connection.
+    chain_start: Time,
+}
+
+impl LastCall {
+    /// Whether it was answered within this time.
+    fn is_answered_within(&self, now: Time, limit: Span) -> bool {
+        self.answered.is_some_and(|at| now.since(at) <= limit)
+    }
 }
 
 /// How the deadlines of the calls on a route compare with those of running attempts.
@@ -197,6 +209,7 @@
         let last_call = LastCall {
             attempt: request,
             answered: None,
+            chain_start: self.call_attribution.chain_start(now, call.connection),
         };
         self.call_attribution.track(now, call.connection, last_call);
         let running = self.running.get_mut(&request)?;
@@ -286,7 +299,10 @@
             .map(|(request, running)| (*request, running))
             .collect();
         if preferred.is_first_call && candidates.len() == 1 {
-            self.learn_first_call(now, latest, route);
+            let running = self.running.get(&latest)?;
+            let pair = (running.route.clone(), route.clone());
+            let sample = elapsed(now, running);
+            self.call_attribution.learn_first_call(pair, sample);
             return Some((latest, Evidence::Single));
         }
         let deviation = |running: &Running| {
@@ -310,20 +326,24 @@
         first_calls.get(&(caller.clone(), called.clone())).copied()
     }
 
-    /// Learns the time until the first call from one whose maker is known.
-    fn learn_first_call(&mut self, now: Time, maker: id::Request, called: &id::Route) {
-        let Some(running) = self.running.get(&maker) else {
+    /// Learns the time until the first call from an attempt that has ended. A service
+    /// responds as soon as it has the response to its last call, so if a single chain
+    /// had one just now, it is that of the attempt.
+    pub(super) fn learn_from_end(&mut self, now: Time, ended: &Running) {
+        let connections = self.call_attribution.connections.values();
+        let mut chains = connections.filter(|last| last.is_answered_within(now, RESPONSE_DELAY));
+        let (Some(chain), None) = (chains.next(), chains.next()) else {
             return;
         };
-        let sample = elapsed(now, running);
-        let first_calls = &mut self.call_attribution.first_calls;
-        let pair = (running.route.clone(), called.clone());
-        if first_calls.len() >= MAX_FIRST_CALLS && !first_calls.contains_key(&pair) {
+        if chain.chain_start < ended.started() {
             return;
         }
-        let usual = first_calls.entry(pair).or_insert(sample);
-        let sample = sample.min(*usual * MAX_SAMPLE_RATIO + MAX_SAMPLE_MARGIN);
-        *usual += (sample - *usual) * FIRST_CALL_EWMA_WEIGHT;
+        let sample = chain.chain_start.since(ended.started()).as_ms() as f64;
+        let [called] = ended.called() else {
+            return;
+        };
+        let pair = (ended.route.clone(), called.clone());
+        self.call_attribution.learn_first_call(pair, sample);
     }
 
     fn active(&self) -> impl Iterator<Item = (&id::Request, &Running)> {
@@ -354,6 +374,25 @@
 }
 
 impl CallAttribution {
+    /// Updates the usual time between the start of a request and its first call.
+    fn learn_first_call(&mut self, routes: (id::Route, id::Route), sample: f64) {
+        let first_calls = &mut self.first_calls;
+        if first_calls.len() >= MAX_FIRST_CALLS && !first_calls.contains_key(&routes) {
+            return;
+        }
+        let usual = first_calls.entry(routes).or_insert(sample);
+        let sample = sample.min(*usual * MAX_SAMPLE_RATIO + MAX_SAMPLE_MARGIN);
+        *usual += (sample - *usual) * FIRST_CALL_EWMA_WEIGHT;
+    }
+
+    /// Returns when the chain began that a call on this connection continues, or the
+    /// present time if it continues none.
+    fn chain_start(&self, now: Time, connection: id::Connection) -> Time {
+        let last_call = self.connections.get(&connection);
+        let previous = last_call.filter(|last| last.is_answered_within(now, FOLLOW_UP_TIMEOUT));
+        previous.map_or(now, |last| last.chain_start)
+    }
+
     fn track(&mut self, now: Time, connection: id::Connection, last_call: LastCall) {
         if self.connections.len() >= MAX_CONNECTIONS {
             let is_usable = |last_call: &LastCall| {
--- a/src/request/inbound/running.rs
+++ b/src/request/inbound/running.rs
@@ -87,6 +87,11 @@
         self.called.contains(route)
     }
 
+    /// The routes that it has called.
+    pub(super) fn called(&self) -> &[id::Route] {
+        &self.called
+    }
+
     /// Records that it calls this route.
     pub fn record_call(&mut self, route: &id::Route) {
         if !self.has_called(route) {
@@ -259,6 +264,9 @@
                         .record_service_time(now, &running.route, took);
                 }
                 world.levels.record_calls(&running.route, &running.called);
+                if world.policy.scheduling.chain_retries {
+                    self.learn_from_end(now, &running);
+                }
             }
             End::Refused => {
                 self.limit.record_refused();
--- a/tests/policy/chain.rs
+++ b/tests/policy/chain.rs
@@ -550,6 +550,25 @@
         self.now += Span::from_ms(ms);
     }
 
+    /// Makes a call without the router, as without the part.
+    fn attribute_by_start(&mut self, connection: u64) -> id::Request {
+        let route = route();
+        let call = OutgoingCall {
+            route: &route,
+            left: None,
+            connection: id::Connection(connection),
+        };
+        let maker = self.proxy.attribute_call(self.now, call, &self.levels);
+        maker.expect("a request runs").0
+    }
+
+    /// Records that a call over a connection was answered one millisecond ago.
+    fn answered_before(&mut self, maker: id::Request, connection: u64) {
+        let at = Time::from_ms(self.now.as_ms() - 1);
+        self.proxy
+            .record_call_answered(at, maker, id::Connection(connection));
+    }
+
     /// Makes a call without the router, and returns what it is attributed to.
     fn attribute(&mut self, connection: u64) -> (id::Request, Evidence) {
         let route = route();
@@ -698,3 +717,83 @@
     assert_eq!(node.attribute(11), (young, Evidence::Elapsed));
     assert_eq!(node.attribute(12), (youngest, Evidence::Single));
 }
+
+/// A request of the service that is about to make its next call.
+struct Work {
+    request: id::Request,
+    connection: u64,
+    calls: u32,
+    /// What its last call is attributed to.
+    maker: Option<id::Request>,
+}
+
+/// Runs requests that make their first call after a time of their own and then three
+/// more, and returns the share of all calls that are attributed to their maker.
+fn attributed_rightly(learned: bool, first_call: std::ops::Range<u64>, per_second: f64) -> f64 {
+    let mut node = Node::new(true, Limits::default());
+    let mut rng = ChaCha8Rng::seed_from_u64(12);
+    let mut due: BTreeMap<(u64, u64), Work> = BTreeMap::new();
+    let (mut right, mut all, mut next) = (0.0, 0.0, 0);
+    for ms in 0..30_000 {
+        if rng.random_bool(per_second / 1000.0) {
+            let request = node.begin(Importance::Normal);
+            next += 1;
+            let work = Work {
+                request,
+                connection: next,
+                calls: 0,
+                maker: None,
+            };
+            due.insert((ms + rng.random_range(first_call.clone()), next), work);
+        }
+        while let Some(entry) = due.first_entry()
+            && entry.key().0 <= ms
+        {
+            let mut work = entry.remove();
+            if let Some(maker) = work.maker {
+                node.answered_before(maker, work.connection);
+            }
+            if work.calls == CALLS {
+                node.end(work.request);
+                continue;
+            }
+            let maker = match learned {
+                true => node.attribute(work.connection).0,
+                false => node.attribute_by_start(work.connection),
+            };
+            all += 1.0;
+            right += f64::from(u8::from(maker == work.request));
+            work.calls += 1;
+            let took = rng.random_range(10..20);
+            work.maker = Some(maker);
+            next += 1;
+            due.insert((ms + took + 1, next), work);
+        }
+        node.wait(1);
+    }
+    right / all
+}
+
+/// Guards against a guess of the first call that is worse than the request that started
+/// last, at loads and spreads of the time until the first call that differ.
+fn first_calls_find_their_requests(
+    first_call: std::ops::Range<u64>,
+    per_second: f64,
+    min_gain: f64,
+) {
+    let by_start = attributed_rightly(false, first_call.clone(), per_second);
+    let learned = attributed_rightly(true, first_call, per_second);
+    assert!(
+        learned >= by_start + min_gain,
+        "{by_start} by start, {learned} learned"
+    );
+}
+
+cases! { first_calls_find_their_requests:
+    after_10_ms_at_100_per_second => (8..13, 100.0, 0.0),
+    after_30_ms_at_100_per_second => (25..36, 100.0, 0.0),
+    after_100_ms_at_100_per_second => (90..111, 100.0, 0.0),
+    after_2_to_20_ms_at_100_per_second => (2..21, 100.0, 0.0),
+    after_2_ms_at_300_per_second => (1..4, 300.0, 0.0),
+    after_10_ms_at_300_per_second => (8..13, 300.0, 0.0),
+}
