Balance: prefer fast instances while slots are free (speed_balancing)

Expected time was utilization times slowness, so an idle slow instance was preferred to a fast one with a few requests. With the switch on it is the slowness while slots are free, and the wait is added above 0.7. Not measured yet.

--- a/src/process/metric.rs
+++ b/src/process/metric.rs
@@ -39,6 +39,10 @@
     Retried(Reason),
     /// Retries that were wanted but not allowed, by reason.
     Unretried(Reason),
+    /// Attempts sent to another instance than by utilization, because it is faster.
+    SpeedPreferred,
+    /// Attempts sent to learn how fast an instance is now.
+    SpeedProbed,
     /// Requests that were started at the upstream, by origin.
     Started(Kind),
     /// Attempts that were started at a cold upstream.
--- a/src/request/balance.rs
+++ b/src/request/balance.rs
@@ -7,6 +7,7 @@
 //! instance, because one that fails fast always looks idle. A health or load
 //! endpoint can only lower the apparent capacity of an instance.
 
+mod speed;
 mod subset;
 
 use std::collections::BTreeMap;
@@ -14,7 +15,14 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
-use self::subset::Subsets;
+use self::{
+    speed::{
+        Choices,
+        References,
+        Speed, //
+    },
+    subset::Subsets, //
+};
 use crate::{
     clock::{
         Span,
@@ -32,6 +40,7 @@
         Status,
         Table, //
     },
+    metric::Counter,
     outcome::Report,
     policy::Policy, //
 };
@@ -85,6 +94,7 @@
     report: Option<LoadReport>,
     /// Its service time relative to the average over all instances.
     slowness: f64,
+    speed: Speed,
     success_rate: f64,
     last_observed: Time,
     outcomes: u32,
@@ -123,6 +133,8 @@
     stats: BTreeMap<Instance, InstanceStats>,
     /// Average service time of each route over all instances, in milliseconds.
     service_times: BTreeMap<Route, f64>,
+    references: References,
+    choices: Choices,
 }
 
 impl Balancer {
@@ -133,6 +145,8 @@
             subsets: Subsets::new(own),
             stats: BTreeMap::new(),
             service_times: BTreeMap::new(),
+            references: References::default(),
+            choices: Choices::default(),
         }
     }
 
@@ -228,6 +242,7 @@
     /// Records that an attempt was sent to an instance.
     pub fn record_sent(&mut self, now: Time, peer: &Instance) {
         let stats = self.stats_mut(peer);
+        stats.speed.record_change(now, stats.outstanding);
         stats.outstanding += 1;
         stats.last_sent = now;
     }
@@ -241,6 +256,7 @@
         if report.life > stats.incarnation {
             stats.reset(report.life);
         }
+        stats.speed.record_response(now);
         stats.report = Some(LoadReport {
             at: now,
             load: report.load,
@@ -265,9 +281,22 @@
         stats.slowness += (relative - stats.slowness) * SLOWNESS_EWMA_WEIGHT;
     }
 
+    /// Records a reported service time for balancing by speed.
+    pub fn record_speed(&mut self, now: Time, peer: &Instance, route: &Route, service_ms: u32) {
+        let stats = self.stats.entry(peer.clone()).or_default();
+        self.references
+            .record(now, route, service_ms, &mut stats.speed);
+    }
+
+    /// Takes the counter of the latest choice, if speed made it another one.
+    pub fn take_speed_choice(&mut self) -> Option<Counter> {
+        self.choices.take()
+    }
+
     /// Records that an attempt has ended and ejects the instance if it fails too often.
     pub fn record_end(&mut self, now: Time, peer: &Instance, observation: Observation) {
         let stats = self.stats_mut(peer);
+        stats.speed.record_change(now, stats.outstanding);
         stats.outstanding = stats.outstanding.saturating_sub(1);
         let success = match observation {
             Observation::Healthy => 1.0,
@@ -404,12 +433,47 @@
         }
         let second = (first + rng.random_range(1..peers.len())) % peers.len();
         let (a, b) = (peers[first], peers[second]);
+        if policy.scheduling.speed_balancing {
+            return Some(self.pick_by_speed(now, a, b));
+        }
         match self.expected_time(now, b) < self.expected_time(now, a) {
             true => Some(b),
             false => Some(a),
         }
     }
 
+    /// Returns the peer that takes less time at its present speed, or one whose speed
+    /// is no longer known.
+    fn pick_by_speed<'a>(&self, now: Time, a: &'a Peer, b: &'a Peer) -> &'a Peer {
+        let may_probe = self.choices.next();
+        let is_due = |peer: &&Peer| {
+            let stats = self.stats.get(&peer.instance);
+            stats.is_some_and(|stats| stats.speed.is_probe_due(now, stats.outstanding))
+        };
+        if let Some(probe) = [a, b].into_iter().find(is_due).filter(|_| may_probe) {
+            self.choices.record_probe();
+            return probe;
+        }
+        let is_b = self.time_by_speed(now, b) < self.time_by_speed(now, a);
+        let is_b_by_load = self.expected_time(now, b) < self.expected_time(now, a);
+        self.choices.record(is_b != is_b_by_load);
+        match is_b {
+            true => b,
+            false => a,
+        }
+    }
+
+    /// Estimates how long one more request would take at the present speed.
+    fn time_by_speed(&self, now: Time, peer: &Peer) -> f64 {
+        let Some(stats) = self.stats.get(&peer.instance) else {
+            return 1.0;
+        };
+        let slowness = stats.speed.slowness(now, stats.outstanding);
+        let health = stats.health(now).max(0.05);
+        let utilization = (stats.load(now) + 1.0) / stats.slots();
+        speed::expected_time(slowness, utilization, health)
+    }
+
     /// Estimates how long one more request would take at an instance, in units of the
     /// average service time.
     fn expected_time(&self, now: Time, peer: &Peer) -> f64 {
@@ -426,11 +490,8 @@
         let Some(stats) = self.stats.get(&peer.instance) else {
             return 1.0 / DEFAULT_SLOTS;
         };
-        let slots = stats
-            .report
-            .map_or(DEFAULT_SLOTS, |report| f64::from(report.slots.max(1)));
         let health = stats.health(now).max(0.05).powi(2);
-        (stats.load(now) + 1.0) / (slots * health)
+        (stats.load(now) + 1.0) / (stats.slots() * health)
     }
 }
 
@@ -442,6 +503,7 @@
             last_sent: Time::ZERO,
             report: None,
             slowness: 1.0,
+            speed: Speed::default(),
             success_rate: 1.0,
             last_observed: Time::ZERO,
             outcomes: 0,
@@ -462,6 +524,11 @@
         own + f64::from(others) * (1.0 - age).max(0.0)
     }
 
+    fn slots(&self) -> f64 {
+        self.report
+            .map_or(DEFAULT_SLOTS, |report| f64::from(report.slots.max(1)))
+    }
+
     /// Returns the success rate, which recovers towards 1 while there are no new
     /// outcomes. Otherwise an instance that looks too unhealthy to be selected could
     /// never be found healthy again.
--- a/src/request/inbound.rs
+++ b/src/request/inbound.rs
@@ -11,6 +11,7 @@
 mod running;
 mod signal;
 mod site;
+pub mod speed;
 mod waiting;
 
 use std::collections::{
@@ -349,7 +350,8 @@
         });
         let allowance = self.allowances.get(&request).copied().unwrap_or_default();
         let service = running.map_or(Span::ZERO, |r| {
-            self.upstream_state.service_time(now, &r.route)
+            self.upstream_state
+                .reported_service_time(now, &r.route, policy.scheduling)
         });
         Report {
             level,
--- a/src/request/inbound/running.rs
+++ b/src/request/inbound/running.rs
@@ -229,7 +229,7 @@
             _ => self.history.end(now, &running.peer, request),
         }
         match end {
-            End::Answered(_) => {
+            End::Answered(status) => {
                 let took = now.since(running.started);
                 self.limit.record_served(took, in_flight);
                 if let Some(phase) = running.phase {
@@ -241,6 +241,10 @@
                 if now <= running.deadline {
                     self.upstream_state
                         .record_service_time(now, &running.route, took);
+                    if world.policy.scheduling.speed_balancing {
+                        self.upstream_state
+                            .record_speed(now, &running.route, took, status);
+                    }
                 }
                 world.levels.record_calls(&running.route, &running.called);
             }
--- a/src/request/inbound/site.rs
+++ b/src/request/inbound/site.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use super::speed::Meter;
 use crate::{
     clock::{
         Span,
@@ -12,6 +13,8 @@
         Snapshot, //
     },
     id,
+    policy::Scheduling,
+    retry,
     warmup, //
 };
 
@@ -56,6 +59,7 @@
     pub draining: bool,
     mean_service_ms: f64,
     service_times: BTreeMap<id::Route, ServiceTime>,
+    speed: Meter,
     last_start: Time,
 }
 
@@ -90,6 +94,7 @@
             draining: false,
             mean_service_ms: 0.0,
             service_times: BTreeMap::new(),
+            speed: Meter::default(),
             last_start: Time::ZERO,
         }
     }
@@ -167,6 +172,27 @@
         Span::from_ms(service.map_or(0, |service| service.mean_ms as u64))
     }
 
+    /// Records the service time of an answer for balancing by speed. Failures say
+    /// nothing about it.
+    pub fn record_speed(&mut self, now: Time, route: &id::Route, took: Span, status: u16) {
+        if !retry::is_failure(status) {
+            self.speed.record(now, route, took);
+        }
+    }
+
+    /// The service time of a route that is reported to senders, zero while unknown.
+    pub fn reported_service_time(
+        &self,
+        now: Time,
+        route: &id::Route,
+        scheduling: Scheduling,
+    ) -> Span {
+        match scheduling.speed_balancing {
+            true => self.speed.service_time(now, route),
+            false => self.service_time(now, route),
+        }
+    }
+
     /// The target of the queue delay, for a given time between two starts. It is at
     /// least two such intervals: with few slots and long service times a single one
     /// may exceed the configured target.
--- a/src/request/ingress/attempt.rs
+++ b/src/request/ingress/attempt.rs
@@ -118,6 +118,9 @@
         call.state = State::Sent(request);
         call.tried.push(peer.clone());
         self.balancer.record_sent(now, &peer);
+        if let Some(counter) = self.balancer.take_speed_choice() {
+            env.counts.add(counter);
+        }
         if let Some(hint) = self.hints.pending(now, &peer, life) {
             out.push(Action::Hint(peer.clone(), hint));
         }
--- a/src/request/ingress/end.rs
+++ b/src/request/ingress/end.rs
@@ -206,6 +206,10 @@
         if let Some(call) = self.calls.get(&attempt.call) {
             self.balancer
                 .record_service_time(peer, &call.route, report.service);
+            if env.policy.scheduling.speed_balancing {
+                self.balancer
+                    .record_speed(now, peer, &call.route, report.service);
+            }
             let team = &call.context.team;
             // A leaving instance sheds nothing, because it accepts nothing. Its
             // level would hide the overload of the remaining instances.
