--- a/src/request/balance.rs
+++ b/src/request/balance.rs
@@ -454,8 +454,10 @@
             self.choices.record_probe();
             return probe;
         }
-        let is_b = self.time_by_speed(now, b) < self.time_by_speed(now, a);
+        let (time_a, time_b) = (self.time_by_speed(now, a), self.time_by_speed(now, b));
         let is_b_by_load = self.expected_time(now, b) < self.expected_time(now, a);
+        let is_b =
+            speed::is_shorter(time_b, time_a) || is_b_by_load && !speed::is_shorter(time_a, time_b);
         self.choices.record(is_b != is_b_by_load);
         match is_b {
             true => b,
--- a/src/request/balance/speed.rs
+++ b/src/request/balance/speed.rs
@@ -33,8 +33,12 @@
 const REFERENCE_WEIGHT: f64 = 0.02;
 /// Time that the lasting slowness averages over: several slowdowns of a second.
 const LASTING_PERIOD: Span = Span::from_secs(5);
-/// Longest time that one report stands for in the lasting slowness.
-const MAX_REPORT_SPAN: Span = Span::from_ms(200);
+/// Longest time that one report stands for in the lasting slowness: the time after
+/// which a probe is due.
+const MAX_REPORT_SPAN: Span = PROBE_INTERVAL;
+/// Bound on a report and its inverse in the lasting slowness. A pause of a second says
+/// little about the seconds that follow.
+const MAX_LASTING_CHANGE: f64 = 3.0;
 /// Below 1, so that the slowness of all instances returns to 1 when it has drifted in
 /// common with the references.
 const LASTING_EXPONENT: f64 = 0.95;
@@ -45,6 +49,10 @@
 /// Health below which an instance does not count as faster than average: failing
 /// quickly is no speed.
 const MIN_FAST_HEALTH: f64 = 0.95;
+/// Ratio of two expected times below which they count as equal. The measured slowness
+/// of equally fast instances differs by a tenth, and always taking the smaller one
+/// leaves an instance without load after each short slowdown.
+const MIN_GAIN: f64 = 1.2;
 /// How long an instance can go without a report before it is probed.
 const PROBE_INTERVAL: Span = Span::from_secs(1);
 /// At most one in this many choices is a probe.
@@ -110,7 +118,9 @@
         self.reports = self.reports.saturating_add(1);
         let first = 1.0 / (f64::from(self.reports) + 1.0);
         let weight = (elapsed / LASTING_PERIOD.as_ms() as f64).max(first);
-        self.lasting += (relative.powf(LASTING_EXPONENT) - self.lasting) * weight;
+        let change = relative.powf(LASTING_EXPONENT) / self.lasting;
+        let change = change.clamp(1.0 / MAX_LASTING_CHANGE, MAX_LASTING_CHANGE);
+        self.lasting *= change.powf(weight);
         self.current += (relative - self.current) * CURRENT_WEIGHT;
         self.service_ms = match self.reports {
             1 => service_ms,
@@ -172,6 +182,11 @@
     slowness * (1.0 + wait) / health.powi(2)
 }
 
+/// Whether a time is shorter than another by more than the error of measurement.
+pub(super) fn is_shorter(time: f64, other: f64) -> bool {
+    time * MIN_GAIN < other
+}
+
 /// How the latest choices were made.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Choices {
