Balance by speed: return load within a second after a pause

Answers that a pause of 0.6 s held up counted in full and kept the instance below a third of its share for three seconds. Ratios of single answers are bounded, and a report after 200 ms replaces the slowness.

--- a/src/request/balance/speed.rs
+++ b/src/request/balance/speed.rs
@@ -27,8 +27,12 @@
 const FREE_UTILIZATION: f64 = 0.7;
 /// Bound on slowness and its inverse.
 const MAX_SLOWNESS: f64 = 16.0;
-/// Weight of the latest report in the current slowness. Reports are averages already.
+/// Least weight of the latest report in the current slowness. Reports are averages
+/// already.
 const CURRENT_WEIGHT: f64 = 0.3;
+/// Time after which the latest report replaces the current slowness. The few reports
+/// that follow a pause would otherwise hold it up for seconds.
+const CURRENT_PERIOD: Span = Span::from_ms(200);
 /// Weight of the latest report in the reference time of a route.
 const REFERENCE_WEIGHT: f64 = 0.02;
 /// Time that the lasting slowness averages over: several slowdowns of a second.
@@ -49,9 +53,9 @@
 /// Health below which an instance does not count as faster than average: failing
 /// quickly is no speed.
 const MIN_FAST_HEALTH: f64 = 0.95;
-/// Ratio of two expected times below which they count as equal. The measured slowness
-/// of equally fast instances differs by a tenth, and always taking the smaller one
-/// leaves an instance without load after each short slowdown.
+/// Ratio of two expected times below which they count as equal. A slowdown by 2.5 for
+/// 0.6 s raises the lasting slowness by a tenth; if the smaller time always won, the
+/// instance would get little load for seconds after it.
 const MIN_GAIN: f64 = 1.2;
 /// How long an instance can go without a report before it is probed.
 const PROBE_INTERVAL: Span = Span::from_secs(1);
@@ -121,7 +125,8 @@
         let change = relative.powf(LASTING_EXPONENT) / self.lasting;
         let change = change.clamp(1.0 / MAX_LASTING_CHANGE, MAX_LASTING_CHANGE);
         self.lasting *= change.powf(weight);
-        self.current += (relative - self.current) * CURRENT_WEIGHT;
+        let weight = elapsed / CURRENT_PERIOD.as_ms() as f64;
+        self.current += (relative - self.current) * weight.clamp(CURRENT_WEIGHT, 1.0);
         self.service_ms = match self.reports {
             1 => service_ms,
             _ => self.service_ms + (service_ms - self.service_ms) * CURRENT_WEIGHT,
--- a/src/request/inbound/speed.rs
+++ b/src/request/inbound/speed.rs
@@ -23,6 +23,9 @@
 /// averages over ten answers at a high rate, the upper one over two at a low rate.
 const MIN_RATIO_WEIGHT: f64 = 0.1;
 const MAX_RATIO_WEIGHT: f64 = 0.5;
+/// Bound on the ratio of one answer. One that took longer was held up by a pause, and
+/// the answers after the pause must be able to correct the average at once.
+const MAX_RATIO: f64 = 4.0;
 /// How long the recent ratio is reported without a new answer.
 const RATIO_TIMEOUT: Span = Span::from_ms(500);
 
@@ -39,8 +42,8 @@
     pub fn record(&mut self, now: Time, route: &id::Route, took: Span) {
         let ms = (took.as_ms() as f64).max(1.0);
         let usual = self.usual_ms.entry(route.clone()).or_insert(ms);
-        let sample = ms / *usual;
-        *usual += (ms - *usual) * USUAL_WEIGHT;
+        let sample = (ms / *usual).min(MAX_RATIO);
+        *usual += (sample - 1.0) * *usual * USUAL_WEIGHT;
         let elapsed = now.since(self.updated).as_ms() as f64;
         let weight = elapsed / RATIO_PERIOD.as_ms() as f64;
         let weight = match self.is_current(now) {
--- a/tests/policy/speed.rs
+++ b/tests/policy/speed.rs
@@ -241,7 +241,8 @@
     println!("service {} {}", service(&on), service(&off));
     println!("wait {} {}", wait(&on), wait(&off));
     println!("picks {} {} {}", on.done.len(), on.preferred, on.probed);
-    // The better of two random instances in every choice, and in none: 40 and 43 to 50 ms.
+    // Two random choices bound the gain, as a third of the pairs have no fast instance.
+    // Measured: 39.1 ms against 42.4 ms.
     assert!(service(&on) < 0.94 * service(&off));
     assert!(wait(&on) < 0.05 * WORK, "{}", wait(&on));
     assert!(on.preferred > 0 && on.probed > 0);
