--- a/src/process/metric.rs
+++ b/src/process/metric.rs
@@ -53,6 +53,10 @@
     /// Calls without a token that were attributed to a running attempt while retries
     /// are taken by class, by evidence.
     Attributed(Evidence),
+    /// Attempts sent to another instance than by utilization, because it is faster.
+    SpeedPreferred,
+    /// Attempts sent to learn how fast an instance is now.
+    SpeedProbed,
     /// Requests that were started at the upstream, by origin.
     Started(Kind),
     /// Attempts that were started at a cold upstream.
