Stall detection: avoid instances that stop answering over an open link

A machine that loses power leaves its links open, so attempts wait there until their deadline or until membership suspects it a second or two later.

With `stall_detection`, the balancer keeps for each instance the last sign of life and the oldest unanswered attempt, and avoids an instance whose silence exceeds 150 ms and three times the usual response time and its deviation. One attempt every 500 ms probes it. Attempts it holds are retried within the allowance and the budget, most important first.

--- a/src/process/intake.rs
+++ b/src/process/intake.rs
@@ -87,6 +87,9 @@
             } => {
                 if let Some(outlet) = self.find_outlet(peer, *request, *side) {
                     outlet.grant(*bytes);
+                    if *side == Side::Request {
+                        self.core_mut().record_body_progress(Clock.now(), peer);
+                    }
                 }
                 return Ok(());
             }
@@ -112,6 +115,9 @@
         let Some(inlet) = self.find_inlet(peer, request, side) else {
             return self.count(Counter::Late);
         };
+        if side == Side::Answer {
+            self.core_mut().record_body_progress(Clock.now(), peer);
+        }
         match frame {
             Frame::Chunk { bytes, .. } => inlet.push(bytes),
             Frame::End { sum, .. } => inlet.end(sum),
--- a/src/process/metric.rs
+++ b/src/process/metric.rs
@@ -39,6 +39,16 @@
     Retried(Reason),
     /// Retries that were wanted but not allowed, by reason.
     Unretried(Reason),
+    /// Times that an instance was found stalled.
+    StallBegun,
+    /// Stalls that ended with a sign of life.
+    StallEnded,
+    /// Attempts sent to a stalled instance to find out whether it has recovered.
+    StallProbed,
+    /// Attempts at a stalled instance that were retried elsewhere.
+    StallRetried,
+    /// Checks of a pool in which so many instances were stalled that it was ignored.
+    StallsIgnored,
     /// Requests that were started at the upstream, by origin.
     Started(Kind),
     /// Attempts that were started at a cold upstream.
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -408,6 +408,11 @@
         self.policy.scheduling = scheduling;
     }
 
+    /// Records that a part of a body arrived from a node or was taken by it.
+    pub(crate) fn record_body_progress(&mut self, now: Time, peer: &id::Instance) {
+        self.router.record_body_progress(now, peer);
+    }
+
     /// Returns when request processing or discovery next needs an
     /// [`Event::Tick`].
     pub fn due(&self) -> Time {
--- a/src/request/balance.rs
+++ b/src/request/balance.rs
@@ -7,6 +7,7 @@
 //! instance, because one that fails fast always looks idle. A health or load
 //! endpoint can only lower the apparent capacity of an instance.
 
+pub mod stall;
 mod subset;
 
 use std::collections::BTreeMap;
@@ -14,7 +15,10 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
-use self::subset::Subsets;
+use self::{
+    stall::Stalls,
+    subset::Subsets, //
+};
 use crate::{
     clock::{
         Span,
@@ -123,6 +127,8 @@
     stats: BTreeMap<Instance, InstanceStats>,
     /// Average service time of each route over all instances, in milliseconds.
     service_times: BTreeMap<Route, f64>,
+    /// Instances that have stopped answering.
+    pub stalls: Stalls,
 }
 
 impl Balancer {
@@ -133,6 +139,7 @@
             subsets: Subsets::new(own),
             stats: BTreeMap::new(),
             service_times: BTreeMap::new(),
+            stalls: Stalls::default(),
         }
     }
 
@@ -215,6 +222,7 @@
     /// under the same name starts afresh.
     pub fn forget(&mut self, instance: &Instance) {
         self.stats.remove(instance);
+        self.stalls.forget(instance);
     }
 
     /// Returns whether the pool has an alive instance that is not in `tried`.
@@ -250,6 +258,7 @@
             leaving: report.leaving,
             limited: report.hint.is_some_and(|hint| hint.limit.is_some()),
         });
+        self.stalls.record_sign_of_life(now, peer);
     }
 
     /// Records the average service time that an instance reports for a route.
@@ -295,10 +304,25 @@
         self.stats.entry(peer.clone()).or_default()
     }
 
-    /// Returns the peers that can be selected. Falls back to suspected or ejected
+    /// Returns the peers that can be selected, without stalled ones.
+    fn candidates<'a>(
+        &self,
+        now: Time,
+        members: &Table,
+        peers: &[&'a Peer],
+        policy: Policy,
+    ) -> Vec<&'a Peer> {
+        let usable = self.usable(now, members, peers, policy);
+        match policy.scheduling.stall_detection {
+            true => self.stalls.without_stalled(now, usable),
+            false => usable,
+        }
+    }
+
+    /// Returns the peers that accept work. Falls back to suspected or ejected
     /// peers if there are no others, but never to one that has just reported that it
     /// is leaving.
-    fn candidates<'a>(
+    fn usable<'a>(
         &self,
         now: Time,
         members: &Table,
--- a/src/request/ingress.rs
+++ b/src/request/ingress.rs
@@ -245,6 +245,11 @@
         self.balancer.forget(instance);
     }
 
+    /// Records that a part of a body arrived from an instance or was taken by it.
+    pub fn record_body_progress(&mut self, now: Time, peer: &id::Instance) {
+        self.balancer.stalls.record_sign_of_life(now, peer);
+    }
+
     /// Returns the number of calls of each team that wait for a rate token.
     pub fn waiting_for_tokens(&self) -> BTreeMap<id::Team, WaitingCounts> {
         let teams = self.token_queues.iter();
@@ -276,6 +281,7 @@
         env: &mut Environment<'_>,
         out: &mut Vec<Action>,
     ) {
+        self.balancer.stalls.observe_time(now);
         match event {
             Event::Arrival(arrival) => self.arrival(now, *arrival, env, out),
             Event::CallerGone(call) => self.caller_gone(now, call, env, out),
--- a/src/request/ingress/attempt.rs
+++ b/src/request/ingress/attempt.rs
@@ -86,14 +86,30 @@
                 (picked, Code::UpstreamRejected)
             }
             None => {
-                let picked = self.balancer.pick(
-                    now,
-                    env.members,
-                    &call.pool,
-                    &call.tried,
-                    env.policy,
-                    env.rng,
-                );
+                let probe = match call.tried.is_empty() {
+                    true => self.balancer.pick_probe(
+                        now,
+                        env.members,
+                        &call.pool,
+                        call.is_repeatable(),
+                        env.policy,
+                        env.rng,
+                    ),
+                    false => None,
+                };
+                if probe.is_some() {
+                    env.counts.add(Counter::StallProbed);
+                }
+                let picked = probe.or_else(|| {
+                    self.balancer.pick(
+                        now,
+                        env.members,
+                        &call.pool,
+                        &call.tried,
+                        env.policy,
+                        env.rng,
+                    )
+                });
                 let no_instance_code = match env.members.is_evacuated(&call.pool) {
                     true => Code::Evacuated,
                     false => Code::UpstreamAbsent,
@@ -118,6 +134,12 @@
         call.state = State::Sent(request);
         call.tried.push(peer.clone());
         self.balancer.record_sent(now, &peer);
+        if call.replayable {
+            let route = &call.route;
+            self.balancer
+                .stalls
+                .record_sent(now, &peer, life, request, route);
+        }
         if let Some(hint) = self.hints.pending(now, &peer, life) {
             out.push(Action::Hint(peer.clone(), hint));
         }
@@ -146,6 +168,8 @@
             sent_at: now,
             observation: Observation::Healthy,
             silence_handled: false,
+            stall_checks: 0,
+            next_stall_check: now,
         };
         self.attempts.insert(request, attempt);
         let deadline = call.deadline;
@@ -181,6 +205,10 @@
         if let Some(grant) = call.grant.take() {
             env.quota.mark_begun(&call.context.team, grant);
         }
+        match retry::is_failure(status) {
+            true => self.balancer.stalls.record_end(now, peer, request),
+            false => self.balancer.stalls.record_answer(now, peer, request),
+        }
         self.release_unspent(request, report.spent, env);
         if retry::is_failure(status) {
             let observation = if report.no_retry {
@@ -421,6 +449,7 @@
             Some(attempt) if attempt.peer == *peer => attempt.call,
             _ => return env.counts.add(Counter::Late),
         };
+        self.balancer.stalls.record_sign_of_life(now, peer);
         let state = self.calls.get(&call_id).map(|call| call.state);
         if !matches!(state, Some(State::Revoking { .. })) {
             return env.counts.add(Counter::Late);
--- a/src/request/ingress/call.rs
+++ b/src/request/ingress/call.rs
@@ -122,6 +122,10 @@
     pub observation: Observation,
     /// Whether a retry was already considered because the instance is suspected.
     pub silence_handled: bool,
+    /// How often a retry was considered because the instance is stalled.
+    pub stall_checks: u8,
+    /// When to consider it next.
+    pub next_stall_check: Time,
 }
 
 impl Call {
@@ -137,6 +141,12 @@
         }
     }
 
+    /// Returns whether the call can be retried elsewhere if the outcome of its attempt
+    /// is unknown.
+    pub fn is_repeatable(&self) -> bool {
+        self.idempotent && self.replayable && self.claim.is_none()
+    }
+
     /// Records that an attempt may have run. The first code is kept.
     pub fn mark_may_have_run(&mut self, code: Code) {
         self.may_have_run.get_or_insert(code);
--- a/src/request/ingress/end.rs
+++ b/src/request/ingress/end.rs
@@ -259,6 +259,7 @@
     ) {
         if let Some(attempt) = self.attempts.remove(&request) {
             self.balancer.record_end(now, &attempt.peer, observation);
+            self.balancer.stalls.record_end(now, &attempt.peer, request);
         }
     }
 
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -29,6 +29,8 @@
 mod retry;
 #[path = "policy/signal.rs"]
 mod signal;
+#[path = "policy/stall.rs"]
+mod stall;
 #[path = "policy/throttle.rs"]
 mod throttle;
 #[path = "policy/warmup.rs"]
