--- a/tests/policy/stall.rs
+++ b/tests/policy/stall.rs
@@ -4,11 +4,16 @@
 
 use bluebellswitch::{
     admission::seen::Levels,
+    allowance::Allowance,
     clock::{
         Span,
         Time, //
     },
     code::Code,
+    context::{
+        Context,
+        Importance, //
+    },
     document::Snapshot,
     id,
     inbound::Proxy,
@@ -203,10 +208,42 @@
     }
 
     fn call(&mut self, path: &str) {
+        self.call_from(Origin::Caller { key: None }, path);
+    }
+
+    /// Makes a call on behalf of a running attempt that may retry twice.
+    fn call_nested(&mut self, importance: Importance, path: &str) {
+        let parent = id::Request {
+            incarnation: id::Incarnation(9),
+            sequence: id::Sequence(self.last_call + 1),
+        };
+        let allowances = self.proxy.allowances();
+        allowances.insert(parent, Allowance::new(2));
+        let context = Context {
+            root: id::Root(self.last_call),
+            team: id::Team::services(),
+            key: None,
+            importance,
+            left: Span::from_secs(1),
+            age: Span::ZERO,
+            allowance: 2,
+            depth: 1,
+            begin: None,
+            parent: Some(parent),
+            origin: None,
+            version: id::Version(1),
+        };
+        let origin = Origin::Service {
+            parent: Some(context),
+        };
+        self.call_from(origin, path);
+    }
+
+    fn call_from(&mut self, origin: Origin, path: &str) {
         self.last_call += 1;
         self.on(Event::Arrival(Box::new(Arrival {
             call: id::Call(self.last_call),
-            origin: Origin::Caller { key: None },
+            origin,
             host: "h".into(),
             method: "POST".into(),
             path: path.into(),
@@ -438,11 +475,49 @@
     bench.run_busy(Span::from_secs(4), "/slow");
     let retried = bench.counts.get(Counter::StallRetried);
     let unretried = bench.counts.get(Counter::Unretried(Reason::Unknown));
-    eprintln!("{retried} {unretried}");
     assert!((2..=9).contains(&retried), "{retried}");
     assert!(unretried > 0);
 }
 
+/// Guards against a scarce budget that is spent on unimportant calls, although an
+/// instance holds important ones too.
+#[test]
+fn the_most_important_attempts_are_retried_first() {
+    let mut bench = Bench::new(true, &["b", "c", "d"]);
+    bench.router.set_retry_limits(Limits {
+        ratio: 0.0,
+        min_rate: 2.0,
+        burst: 2.0,
+        ..Limits::default()
+    });
+    bench.run_busy(WARMUP, "/read");
+    // All calls of the warm-up end before the silence.
+    bench.run(Span::from_ms(100), Span::MAX, &["/read"]);
+    bench.silence("d", Time::NEVER);
+    let mut held = Vec::new();
+    for _ in 0..40 {
+        bench.now += STEP;
+        bench.respond();
+        for importance in [Importance::Low, Importance::High].repeat(3) {
+            let sent = bench.sent.len();
+            bench.call_nested(importance, "/read");
+            if bench.sent[sent].2.as_str() == "d" {
+                held.push((bench.sent[sent].1, importance));
+            }
+        }
+        bench.on(Event::Tick);
+    }
+    let is_retried = |call| bench.sent.iter().filter(|sent| sent.1 == call).count() > 1;
+    let count = |importance, retried| {
+        let matches =
+            |held: &&(id::Call, Importance)| held.1 == importance && is_retried(held.0) == retried;
+        held.iter().filter(matches).count()
+    };
+    assert!(count(Importance::High, true) >= 2, "{held:?}");
+    assert!(count(Importance::Low, false) >= 1, "{held:?}");
+    assert_eq!(count(Importance::Low, true), 0, "{held:?}");
+}
+
 /// Guards against an instance that returns as a new process and is still avoided.
 #[test]
 fn a_new_incarnation_is_not_stalled() {
