--- a/src/process/metric.rs
+++ b/src/process/metric.rs
@@ -57,6 +57,16 @@
     SpeedPreferred,
     /// Attempts sent to learn how fast an instance is now.
     SpeedProbed,
+    /// Times that an instance was found stalled.
+    StallBegun,
+    /// Stalls that ended with a sign of life.
+    StallEnded,
+    /// Attempts sent to a stalled instance to find out whether it has recovered.
+    StallProbed,
+    /// Attempts at a stalled instance that were retried elsewhere.
+    StallRetried,
+    /// Checks of a pool in which so many instances were stalled that it was ignored.
+    StallsIgnored,
     /// Requests that were started at the upstream, by origin.
     Started(Kind),
     /// Attempts that were started at a cold upstream.
--- a/src/request/balance.rs
+++ b/src/request/balance.rs
@@ -8,6 +8,7 @@
 //! endpoint can only lower the apparent capacity of an instance.
 
 mod speed;
+pub mod stall;
 mod subset;
 
 use std::collections::BTreeMap;
@@ -21,6 +22,7 @@
         References,
         Speed, //
     },
+    stall::Stalls,
     subset::Subsets, //
 };
 use crate::{
@@ -135,6 +137,8 @@
     service_times: BTreeMap<Route, f64>,
     references: References,
     choices: Choices,
+    /// Instances that have stopped answering.
+    pub stalls: Stalls,
 }
 
 impl Balancer {
@@ -147,6 +151,7 @@
             service_times: BTreeMap::new(),
             references: References::default(),
             choices: Choices::default(),
+            stalls: Stalls::default(),
         }
     }
 
@@ -229,6 +234,7 @@
     /// under the same name starts afresh.
     pub fn forget(&mut self, instance: &Instance) {
         self.stats.remove(instance);
+        self.stalls.forget(instance);
     }
 
     /// Returns whether the pool has an alive instance that is not in `tried`.
@@ -266,6 +272,7 @@
             leaving: report.leaving,
             limited: report.hint.is_some_and(|hint| hint.limit.is_some()),
         });
+        self.stalls.record_sign_of_life(now, peer);
     }
 
     /// Records the average service time that an instance reports for a route.
@@ -324,10 +331,25 @@
         self.stats.entry(peer.clone()).or_default()
     }
 
-    /// Returns the peers that can be selected. Falls back to suspected or ejected
+    /// Returns the peers that can be selected, without stalled ones.
+    fn candidates<'a>(
+        &self,
+        now: Time,
+        members: &Table,
+        peers: &[&'a Peer],
+        policy: Policy,
+    ) -> Vec<&'a Peer> {
+        let usable = self.usable(now, members, peers, policy);
+        match policy.scheduling.stall_detection {
+            true => self.stalls.without_stalled(now, usable),
+            false => usable,
+        }
+    }
+
+    /// Returns the peers that accept work. Falls back to suspected or ejected
     /// peers if there are no others, but never to one that has just reported that it
     /// is leaving.
-    fn candidates<'a>(
+    fn usable<'a>(
         &self,
         now: Time,
         members: &Table,
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -33,6 +33,8 @@
 mod signal;
 #[path = "policy/speed.rs"]
 mod speed;
+#[path = "policy/stall.rs"]
+mod stall;
 #[path = "policy/throttle.rs"]
 mod throttle;
 #[path = "policy/warmup.rs"]
