Balance: shares of requests that leave a failure domain

Cause: requests stay in their failure domain until single instances are nearly full, so a domain at the peak of its demand sheds while others have free slots.

Change: with scheduling.domain_shares, each pool has a share of requests that are sent to other domains. With the switch off the choices are as before.

--- a/src/process/metric.rs
+++ b/src/process/metric.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 
 use crate::{
+    balance::share::Crossing,
     code::Code,
     feed,
     retry::Reason, //
@@ -39,6 +40,9 @@
     Retried(Reason),
     /// Retries that were wanted but not allowed, by reason.
     Unretried(Reason),
+    /// Requests sent to another failure domain although their own has instances, by
+    /// reason.
+    Crossed(Crossing),
     /// Requests that were started at the upstream, by origin.
     Started(Kind),
     /// Attempts that were started at a cold upstream.
--- a/src/request/balance.rs
+++ b/src/request/balance.rs
@@ -7,6 +7,7 @@
 //! instance, because one that fails fast always looks idle. A health or load
 //! endpoint can only lower the apparent capacity of an instance.
 
+pub mod share;
 mod subset;
 
 use std::collections::BTreeMap;
@@ -14,7 +15,13 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
-use self::subset::Subsets;
+use self::{
+    share::{
+        Crossing,
+        Shares, //
+    },
+    subset::Subsets, //
+};
 use crate::{
     clock::{
         Span,
@@ -123,6 +130,9 @@
     stats: BTreeMap<Instance, InstanceStats>,
     /// Average service time of each route over all instances, in milliseconds.
     service_times: BTreeMap<Route, f64>,
+    shares: Shares,
+    /// Why the last request that was picked left the domain.
+    crossing: Option<Crossing>,
 }
 
 impl Balancer {
@@ -133,6 +143,8 @@
             subsets: Subsets::new(own),
             stats: BTreeMap::new(),
             service_times: BTreeMap::new(),
+            shares: Shares::default(),
+            crossing: None,
         }
     }
 
@@ -166,15 +178,22 @@
             .iter()
             .find(|peer| self.is_probe_due(now, peer))
             .copied();
-        let chosen = match (probe, untried.is_empty()) {
-            (Some(probe), _) if tried.is_empty() => probe,
-            (_, true) => self.pick_by_domain(now, &candidates, policy, rng)?,
-            (_, false) => self.pick_by_domain(now, &untried, policy, rng)?,
+        let leaves = tried.is_empty() && self.leaves_domain(now, pool, &candidates, policy, rng);
+        let (chosen, crossing) = match (probe, untried.is_empty()) {
+            (Some(probe), _) if tried.is_empty() => (probe, None),
+            (_, true) => self.pick_by_domain(now, &candidates, leaves, policy, rng)?,
+            (_, false) => self.pick_by_domain(now, &untried, leaves, policy, rng)?,
         };
+        self.crossing = crossing;
         let incarnation = self.incarnation(chosen);
         Some((chosen.instance.clone(), incarnation))
     }
 
+    /// Returns why the last request that was picked left the failure domain, once.
+    pub fn take_crossing(&mut self) -> Option<Crossing> {
+        self.crossing.take()
+    }
+
     /// Returns whether any instance not in `tried` would admit a request of this
     /// rank, according to its last report.
     pub fn admits_elsewhere(
@@ -361,29 +380,40 @@
         })
     }
 
+    /// Selects a local peer, or one of another domain if the request `leaves` as part of
+    /// the share or the local one is nearly full.
     fn pick_by_domain<'a>(
         &self,
         now: Time,
         peers: &[&'a Peer],
+        leaves: bool,
         policy: Policy,
         rng: &mut ChaCha8Rng,
-    ) -> Option<&'a Peer> {
+    ) -> Option<(&'a Peer, Option<Crossing>)> {
         let (local_peers, remote_peers): (Vec<_>, Vec<_>) = peers
             .iter()
             .copied()
             .partition(|peer| peer.domain == self.domain);
         if local_peers.is_empty() || remote_peers.is_empty() || !policy.prefer_local_domain {
-            return self.pick_of_two(now, peers, policy, rng);
+            let chosen = self.pick_of_two(now, peers, policy, rng)?;
+            return Some((chosen, None));
+        }
+        if leaves {
+            let remote = self.pick_of_two(now, &remote_peers, policy, rng)?;
+            // Another domain may be full although the mean of all is not.
+            if self.utilization(now, remote) <= 1.0 {
+                return Some((remote, Some(Crossing::Share)));
+            }
         }
         let local = self.pick_of_two(now, &local_peers, policy, rng)?;
         let local_utilization = self.utilization(now, local);
         if local_utilization <= MAX_LOCAL_UTILIZATION {
-            return Some(local);
+            return Some((local, None));
         }
         let remote = self.pick_of_two(now, &remote_peers, policy, rng)?;
         match self.utilization(now, remote) + MIN_CROSS_DOMAIN_GAIN < local_utilization {
-            true => Some(remote),
-            false => Some(local),
+            true => Some((remote, Some(Crossing::Single))),
+            false => Some((local, None)),
         }
     }
 
@@ -429,8 +459,7 @@
         let slots = stats
             .report
             .map_or(DEFAULT_SLOTS, |report| f64::from(report.slots.max(1)));
-        let health = stats.health(now).max(0.05).powi(2);
-        (stats.load(now) + 1.0) / (slots * health)
+        (stats.load(now) + 1.0) / (slots * stats.capacity_factor(now))
     }
 }
 
@@ -470,6 +499,11 @@
         self.success_rate + (1.0 - self.success_rate) * elapsed.min(1.0)
     }
 
+    /// Returns the factor by which poor health lowers the apparent capacity.
+    fn capacity_factor(&self, now: Time) -> f64 {
+        self.health(now).max(0.05).powi(2)
+    }
+
     fn eject(&mut self, now: Time) {
         let factor = 1 << self.ejections.min(5);
         let duration = Span::from_ms(FIRST_EJECTION.as_ms() * factor).min(MAX_EJECTION);
--- a/src/request/ingress/attempt.rs
+++ b/src/request/ingress/attempt.rs
@@ -94,6 +94,9 @@
                     env.policy,
                     env.rng,
                 );
+                if let Some(crossing) = self.balancer.take_crossing() {
+                    env.counts.add(Counter::Crossed(crossing));
+                }
                 let no_instance_code = match env.members.is_evacuated(&call.pool) {
                     true => Code::Evacuated,
                     false => Code::UpstreamAbsent,
