--- a/src/process/metric.rs
+++ b/src/process/metric.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 
 use crate::{
+    balance::share::Crossing,
     code::Code,
     feed,
     inbound::Evidence,
@@ -67,6 +68,9 @@
     StallRetried,
     /// Checks of a pool in which so many instances were stalled that it was ignored.
     StallsIgnored,
+    /// Requests sent to another failure domain although their own has instances, by
+    /// reason.
+    Crossed(Crossing),
     /// Requests that were started at the upstream, by origin.
     Started(Kind),
     /// Attempts that were started at a cold upstream.
