--- a/src/process/metric.rs
+++ b/src/process/metric.rs
@@ -6,9 +6,14 @@
 use std::collections::BTreeMap;
 
 use crate::{
+    balance::share::Crossing,
     code::Code,
     feed,
-    retry::Reason, //
+    inbound::Evidence,
+    retry::{
+        Reason,
+        class::Progress, //
+    },
 };
 
 /// Origin of a request that was started at the upstream.
@@ -39,6 +44,33 @@
     Retried(Reason),
     /// Retries that were wanted but not allowed, by reason.
     Unretried(Reason),
+    /// Retries taken from a pool's budget by class, by progress of the chain.
+    ChainRetryTaken(Progress),
+    /// Retries refused because a pool's budget is exhausted, by progress of the chain.
+    ChainRetryExhausted(Progress),
+    /// Retries refused because what a pool's budget holds is reserved for higher
+    /// classes, by progress of the chain.
+    ChainRetryReserved(Progress),
+    /// Calls without a token that were attributed to a running attempt while retries
+    /// are taken by class, by evidence.
+    Attributed(Evidence),
+    /// Attempts sent to another instance than by utilization, because it is faster.
+    SpeedPreferred,
+    /// Attempts sent to learn how fast an instance is now.
+    SpeedProbed,
+    /// Times that an instance was found stalled.
+    StallBegun,
+    /// Stalls that ended with a sign of life.
+    StallEnded,
+    /// Attempts sent to a stalled instance to find out whether it has recovered.
+    StallProbed,
+    /// Attempts at a stalled instance that were retried elsewhere.
+    StallRetried,
+    /// Checks of a pool in which so many instances were stalled that it was ignored.
+    StallsIgnored,
+    /// Requests sent to another failure domain although their own has instances, by
+    /// reason.
+    Crossed(Crossing),
     /// Requests that were started at the upstream, by origin.
     Started(Kind),
     /// Attempts that were started at a cold upstream.
--- a/src/request/balance.rs
+++ b/src/request/balance.rs
@@ -7,6 +7,9 @@
 //! instance, because one that fails fast always looks idle. A health or load
 //! endpoint can only lower the apparent capacity of an instance.
 
+pub mod share;
+mod speed;
+pub mod stall;
 mod subset;
 
 use std::collections::BTreeMap;
@@ -14,7 +17,19 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
-use self::subset::Subsets;
+use self::{
+    share::{
+        Crossing,
+        Shares, //
+    },
+    speed::{
+        Choices,
+        References,
+        Speed, //
+    },
+    stall::Stalls,
+    subset::Subsets, //
+};
 use crate::{
     clock::{
         Span,
@@ -32,6 +47,7 @@
         Status,
         Table, //
     },
+    metric::Counter,
     outcome::Report,
     policy::Policy, //
 };
@@ -85,6 +101,7 @@
     report: Option<LoadReport>,
     /// Its service time relative to the average over all instances.
     slowness: f64,
+    speed: Speed,
     success_rate: f64,
     last_observed: Time,
     outcomes: u32,
@@ -123,6 +140,13 @@
     stats: BTreeMap<Instance, InstanceStats>,
     /// Average service time of each route over all instances, in milliseconds.
     service_times: BTreeMap<Route, f64>,
+    references: References,
+    choices: Choices,
+    /// Instances that have stopped answering.
+    pub stalls: Stalls,
+    shares: Shares,
+    /// Why the last request that was picked left the domain.
+    crossing: Option<Crossing>,
 }
 
 impl Balancer {
@@ -133,6 +157,11 @@
             subsets: Subsets::new(own),
             stats: BTreeMap::new(),
             service_times: BTreeMap::new(),
+            references: References::default(),
+            choices: Choices::default(),
+            stalls: Stalls::default(),
+            shares: Shares::default(),
+            crossing: None,
         }
     }
 
@@ -166,15 +195,22 @@
             .iter()
             .find(|peer| self.is_probe_due(now, peer))
             .copied();
-        let chosen = match (probe, untried.is_empty()) {
-            (Some(probe), _) if tried.is_empty() => probe,
-            (_, true) => self.pick_by_domain(now, &candidates, policy, rng)?,
-            (_, false) => self.pick_by_domain(now, &untried, policy, rng)?,
+        let leaves = tried.is_empty() && self.leaves_domain(now, pool, &candidates, policy, rng);
+        let (chosen, crossing) = match (probe, untried.is_empty()) {
+            (Some(probe), _) if tried.is_empty() => (probe, None),
+            (_, true) => self.pick_by_domain(now, &candidates, leaves, policy, rng)?,
+            (_, false) => self.pick_by_domain(now, &untried, leaves, policy, rng)?,
         };
+        self.crossing = crossing;
         let incarnation = self.incarnation(chosen);
         Some((chosen.instance.clone(), incarnation))
     }
 
+    /// Returns why the last request that was picked left the failure domain, once.
+    pub fn take_crossing(&mut self) -> Option<Crossing> {
+        self.crossing.take()
+    }
+
     /// Returns whether any instance not in `tried` would admit a request of this
     /// rank, according to its last report.
     pub fn admits_elsewhere(
@@ -215,6 +251,7 @@
     /// under the same name starts afresh.
     pub fn forget(&mut self, instance: &Instance) {
         self.stats.remove(instance);
+        self.stalls.forget(instance);
     }
 
     /// Returns whether the pool has an alive instance that is not in `tried`.
@@ -228,6 +265,7 @@
     /// Records that an attempt was sent to an instance.
     pub fn record_sent(&mut self, now: Time, peer: &Instance) {
         let stats = self.stats_mut(peer);
+        stats.speed.record_change(now, stats.outstanding);
         stats.outstanding += 1;
         stats.last_sent = now;
     }
@@ -241,6 +279,7 @@
         if report.life > stats.incarnation {
             stats.reset(report.life);
         }
+        stats.speed.record_response(now);
         stats.report = Some(LoadReport {
             at: now,
             load: report.load,
@@ -250,6 +289,7 @@
             leaving: report.leaving,
             limited: report.hint.is_some_and(|hint| hint.limit.is_some()),
         });
+        self.stalls.record_sign_of_life(now, peer);
     }
 
     /// Records the average service time that an instance reports for a route.
@@ -265,9 +305,22 @@
         stats.slowness += (relative - stats.slowness) * SLOWNESS_EWMA_WEIGHT;
     }
 
+    /// Records a reported service time for balancing by speed.
+    pub fn record_speed(&mut self, now: Time, peer: &Instance, route: &Route, service_ms: u32) {
+        let stats = self.stats.entry(peer.clone()).or_default();
+        self.references
+            .record(now, route, service_ms, &mut stats.speed);
+    }
+
+    /// Takes the counter of the latest choice, if speed made it another one.
+    pub fn take_speed_choice(&mut self) -> Option<Counter> {
+        self.choices.take()
+    }
+
     /// Records that an attempt has ended and ejects the instance if it fails too often.
     pub fn record_end(&mut self, now: Time, peer: &Instance, observation: Observation) {
         let stats = self.stats_mut(peer);
+        stats.speed.record_change(now, stats.outstanding);
         stats.outstanding = stats.outstanding.saturating_sub(1);
         let success = match observation {
             Observation::Healthy => 1.0,
@@ -295,10 +348,25 @@
         self.stats.entry(peer.clone()).or_default()
     }
 
-    /// Returns the peers that can be selected. Falls back to suspected or ejected
+    /// Returns the peers that can be selected, without stalled ones.
+    fn candidates<'a>(
+        &self,
+        now: Time,
+        members: &Table,
+        peers: &[&'a Peer],
+        policy: Policy,
+    ) -> Vec<&'a Peer> {
+        let usable = self.usable(now, members, peers, policy);
+        match policy.scheduling.stall_detection {
+            true => self.stalls.without_stalled(now, usable),
+            false => usable,
+        }
+    }
+
+    /// Returns the peers that accept work. Falls back to suspected or ejected
     /// peers if there are no others, but never to one that has just reported that it
     /// is leaving.
-    fn candidates<'a>(
+    fn usable<'a>(
         &self,
         now: Time,
         members: &Table,
@@ -361,29 +429,40 @@
         })
     }
 
+    /// Selects a local peer, or one of another domain if the request `leaves` as part of
+    /// the share or the local one is nearly full.
     fn pick_by_domain<'a>(
         &self,
         now: Time,
         peers: &[&'a Peer],
+        leaves: bool,
         policy: Policy,
         rng: &mut ChaCha8Rng,
-    ) -> Option<&'a Peer> {
+    ) -> Option<(&'a Peer, Option<Crossing>)> {
         let (local_peers, remote_peers): (Vec<_>, Vec<_>) = peers
             .iter()
             .copied()
             .partition(|peer| peer.domain == self.domain);
         if local_peers.is_empty() || remote_peers.is_empty() || !policy.prefer_local_domain {
-            return self.pick_of_two(now, peers, policy, rng);
+            let chosen = self.pick_of_two(now, peers, policy, rng)?;
+            return Some((chosen, None));
+        }
+        if leaves {
+            let remote = self.pick_of_two(now, &remote_peers, policy, rng)?;
+            // Another domain may be full although the mean of all is not.
+            if self.utilization(now, remote) <= 1.0 {
+                return Some((remote, Some(Crossing::Share)));
+            }
         }
         let local = self.pick_of_two(now, &local_peers, policy, rng)?;
         let local_utilization = self.utilization(now, local);
         if local_utilization <= MAX_LOCAL_UTILIZATION {
-            return Some(local);
+            return Some((local, None));
         }
         let remote = self.pick_of_two(now, &remote_peers, policy, rng)?;
         match self.utilization(now, remote) + MIN_CROSS_DOMAIN_GAIN < local_utilization {
-            true => Some(remote),
-            false => Some(local),
+            true => Some((remote, Some(Crossing::Single))),
+            false => Some((local, None)),
         }
     }
 
@@ -404,12 +483,49 @@
         }
         let second = (first + rng.random_range(1..peers.len())) % peers.len();
         let (a, b) = (peers[first], peers[second]);
+        if policy.scheduling.speed_balancing {
+            return Some(self.pick_by_speed(now, a, b));
+        }
         match self.expected_time(now, b) < self.expected_time(now, a) {
             true => Some(b),
             false => Some(a),
         }
     }
 
+    /// Returns the peer that takes less time at its present speed, or one whose speed
+    /// is no longer known.
+    fn pick_by_speed<'a>(&self, now: Time, a: &'a Peer, b: &'a Peer) -> &'a Peer {
+        let may_probe = self.choices.next();
+        let is_due = |peer: &&Peer| {
+            let stats = self.stats.get(&peer.instance);
+            stats.is_some_and(|stats| stats.speed.is_probe_due(now, stats.outstanding))
+        };
+        if let Some(probe) = [a, b].into_iter().find(is_due).filter(|_| may_probe) {
+            self.choices.record_probe();
+            return probe;
+        }
+        let (time_a, time_b) = (self.time_by_speed(now, a), self.time_by_speed(now, b));
+        let is_b_by_load = self.expected_time(now, b) < self.expected_time(now, a);
+        let is_b =
+            speed::is_shorter(time_b, time_a) || is_b_by_load && !speed::is_shorter(time_a, time_b);
+        self.choices.record(is_b != is_b_by_load);
+        match is_b {
+            true => b,
+            false => a,
+        }
+    }
+
+    /// Estimates how long one more request would take at the present speed.
+    fn time_by_speed(&self, now: Time, peer: &Peer) -> f64 {
+        let Some(stats) = self.stats.get(&peer.instance) else {
+            return 1.0;
+        };
+        let slowness = stats.speed.slowness(now, stats.outstanding);
+        let health = stats.health(now).max(0.05);
+        let utilization = (stats.load(now) + 1.0) / stats.slots();
+        speed::expected_time(slowness, utilization, health)
+    }
+
     /// Estimates how long one more request would take at an instance, in units of the
     /// average service time.
     fn expected_time(&self, now: Time, peer: &Peer) -> f64 {
@@ -426,11 +542,7 @@
         let Some(stats) = self.stats.get(&peer.instance) else {
             return 1.0 / DEFAULT_SLOTS;
         };
-        let slots = stats
-            .report
-            .map_or(DEFAULT_SLOTS, |report| f64::from(report.slots.max(1)));
-        let health = stats.health(now).max(0.05).powi(2);
-        (stats.load(now) + 1.0) / (slots * health)
+        (stats.load(now) + 1.0) / (stats.slots() * stats.capacity_factor(now))
     }
 }
 
@@ -442,6 +554,7 @@
             last_sent: Time::ZERO,
             report: None,
             slowness: 1.0,
+            speed: Speed::default(),
             success_rate: 1.0,
             last_observed: Time::ZERO,
             outcomes: 0,
@@ -462,6 +575,11 @@
         own + f64::from(others) * (1.0 - age).max(0.0)
     }
 
+    fn slots(&self) -> f64 {
+        self.report
+            .map_or(DEFAULT_SLOTS, |report| f64::from(report.slots.max(1)))
+    }
+
     /// Returns the success rate, which recovers towards 1 while there are no new
     /// outcomes. Otherwise an instance that looks too unhealthy to be selected could
     /// never be found healthy again.
@@ -470,6 +588,11 @@
         self.success_rate + (1.0 - self.success_rate) * elapsed.min(1.0)
     }
 
+    /// Returns the factor by which poor health lowers the apparent capacity.
+    fn capacity_factor(&self, now: Time) -> f64 {
+        self.health(now).max(0.05).powi(2)
+    }
+
     fn eject(&mut self, now: Time) {
         let factor = 1 << self.ejections.min(5);
         let duration = Span::from_ms(FIRST_EJECTION.as_ms() * factor).min(MAX_EJECTION);
--- a/src/request/inbound/running.rs
+++ b/src/request/inbound/running.rs
@@ -3,6 +3,8 @@
 //! A slot is freed only when the upstream has really stopped: an aborted attempt
 //! keeps its slot until its end is reported.
 
+use std::collections::BTreeMap;
+
 use rand::RngExt;
 
 use super::{
@@ -26,6 +28,7 @@
     outcome::Report,
     policy::Admission,
     record::Claim,
+    retry::class::Progress,
     warmup::Doubt, //
 };
 
@@ -49,6 +52,8 @@
     /// Its sender no longer waits, so its end is not reported.
     aborted: bool,
     called: Vec<id::Route>,
+    /// Number of its calls that have succeeded, by route.
+    succeeded: BTreeMap<id::Route, u32>,
 }
 
 impl Running {
@@ -82,12 +87,27 @@
         self.called.contains(route)
     }
 
+    /// The routes that it has called.
+    pub(super) fn called(&self) -> &[id::Route] {
+        &self.called
+    }
+
     /// Records that it calls this route.
     pub fn record_call(&mut self, route: &id::Route) {
         if !self.has_called(route) {
             self.called.push(route.clone());
         }
     }
+
+    /// Records that one of its calls on this route has succeeded.
+    pub(super) fn record_success(&mut self, route: &id::Route) {
+        *self.succeeded.entry(route.clone()).or_default() += 1;
+    }
+
+    /// Returns its progress on this route.
+    pub(super) fn progress(&self, route: &id::Route) -> Progress {
+        Progress::of(self.succeeded.get(route).copied().unwrap_or_default())
+    }
 }
 
 impl Proxy {
@@ -159,6 +179,7 @@
             phase: self.knee.start_phase(self.running.len() as u32 + 1),
             aborted: false,
             called: Vec::new(),
+            succeeded: BTreeMap::new(),
         };
         self.running.insert(request, running);
         out.push(Action::Start {
@@ -229,7 +250,7 @@
             _ => self.history.end(now, &running.peer, request),
         }
         match end {
-            End::Answered(_) => {
+            End::Answered(status) => {
                 let took = now.since(running.started);
                 self.limit.record_served(took, in_flight);
                 if let Some(phase) = running.phase {
@@ -241,8 +262,15 @@
                 if now <= running.deadline {
                     self.upstream_state
                         .record_service_time(now, &running.route, took);
+                    if world.policy.scheduling.speed_balancing {
+                        self.upstream_state
+                            .record_speed(now, &running.route, took, status);
+                    }
                 }
                 world.levels.record_calls(&running.route, &running.called);
+                if world.policy.scheduling.chain_retries {
+                    self.learn_from_end(now, &running);
+                }
             }
             End::Refused => {
                 self.limit.record_refused();
--- a/src/request/ingress/attempt.rs
+++ b/src/request/ingress/attempt.rs
@@ -10,6 +10,7 @@
 };
 use crate::{
     admission::Rank,
+    allowance::Allowance,
     balance::Observation,
     clock::{
         Span,
@@ -27,9 +28,11 @@
     policy::RetryLimit,
     record::Name,
     retry::{
-        self,
-        Failure,
-        Reason, //
+        self, Decision, Failure, Reason,
+        class::{
+            Class,
+            Progress, //
+        },
     },
 };
 
@@ -38,6 +41,8 @@
 const ATTEMPT_QUERY_TIMEOUT: Span = Span::from_secs(2);
 /// Interval between two queries.
 const ATTEMPT_QUERY_INTERVAL: Span = Span::from_ms(100);
+/// The lowest HTTP status that isn't a success.
+const FIRST_ERROR_STATUS: u16 = 400;
 /// Weight of the latest response in a route's typical latency.
 const LATENCY_EWMA_WEIGHT: f64 = 0.1;
 
@@ -86,14 +91,33 @@
                 (picked, Code::UpstreamRejected)
             }
             None => {
-                let picked = self.balancer.pick(
-                    now,
-                    env.members,
-                    &call.pool,
-                    &call.tried,
-                    env.policy,
-                    env.rng,
-                );
+                let probe = match call.tried.is_empty() {
+                    true => self.balancer.pick_probe(
+                        now,
+                        env.members,
+                        &call.pool,
+                        call.is_repeatable(),
+                        env.policy,
+                        env.rng,
+                    ),
+                    false => None,
+                };
+                if probe.is_some() {
+                    env.counts.add(Counter::StallProbed);
+                }
+                let picked = probe.or_else(|| {
+                    self.balancer.pick(
+                        now,
+                        env.members,
+                        &call.pool,
+                        &call.tried,
+                        env.policy,
+                        env.rng,
+                    )
+                });
+                if let Some(crossing) = self.balancer.take_crossing() {
+                    env.counts.add(Counter::Crossed(crossing));
+                }
                 let no_instance_code = match env.members.is_evacuated(&call.pool) {
                     true => Code::Evacuated,
                     false => Code::UpstreamAbsent,
@@ -118,6 +142,15 @@
         call.state = State::Sent(request);
         call.tried.push(peer.clone());
         self.balancer.record_sent(now, &peer);
+        if let Some(counter) = self.balancer.take_speed_choice() {
+            env.counts.add(counter);
+        }
+        if call.replayable {
+            let route = &call.route;
+            self.balancer
+                .stalls
+                .record_sent(now, &peer, life, request, route);
+        }
         if let Some(hint) = self.hints.pending(now, &peer, life) {
             out.push(Action::Hint(peer.clone(), hint));
         }
@@ -146,6 +179,8 @@
             sent_at: now,
             observation: Observation::Healthy,
             silence_handled: false,
+            stall_checks: 0,
+            next_stall_check: now,
         };
         self.attempts.insert(request, attempt);
         let deadline = call.deadline;
@@ -181,6 +216,10 @@
         if let Some(grant) = call.grant.take() {
             env.quota.mark_begun(&call.context.team, grant);
         }
+        match retry::is_failure(status) {
+            true => self.balancer.stalls.record_end(now, peer, request),
+            false => self.balancer.stalls.record_answer(now, peer, request),
+        }
         self.release_unspent(request, report.spent, env);
         if retry::is_failure(status) {
             let observation = if report.no_retry {
@@ -201,6 +240,7 @@
         }
         if let Some(call) = self.calls.get_mut(&call_id) {
             call.state = State::Delivering(request);
+            call.succeeded = status < FIRST_ERROR_STATUS;
             call.mark_may_have_run(Code::UpstreamCut);
             out.push(Action::Deliver(call_id, request));
         }
@@ -237,6 +277,7 @@
         env.counts.add(Counter::Whole);
         let observation = self.attempts[&request].observation;
         self.end_attempt(now, request, report.spent, observation, env);
+        self.record_progress(call_id, env);
         self.remove_call(now, call_id, env);
     }
 
@@ -421,6 +462,7 @@
             Some(attempt) if attempt.peer == *peer => attempt.call,
             _ => return env.counts.add(Counter::Late),
         };
+        self.balancer.stalls.record_sign_of_life(now, peer);
         let state = self.calls.get(&call_id).map(|call| call.state);
         if !matches!(state, Some(State::Revoking { .. })) {
             return env.counts.add(Counter::Late);
@@ -546,8 +588,6 @@
         if let RetryLimit::PerHop(max_retries) = env.policy.retry_limit {
             return call.retries < max_retries;
         }
-        let pool = call.pool.clone();
-        let importance = call.context.importance;
         let Some(allowance) = call.allowance(env.proxy.allowances()) else {
             return false;
         };
@@ -555,16 +595,55 @@
         if !has_allowance && !can_repeat {
             return false;
         }
-        if env.policy.retry_budget && !self.retry_budget.try_take(now, &pool, importance, env.rng) {
+        if env.policy.retry_budget && !self.take_from_budget(now, call_id, env) {
             return false;
         }
+        let Some(call) = self.calls.get_mut(&call_id) else {
+            return false;
+        };
         if has_allowance {
-            return allowance.try_take();
+            let allowance = call.allowance(env.proxy.allowances());
+            return allowance.is_some_and(Allowance::try_take);
         }
         call.only_rejecting_instances = true;
         true
     }
 
+    /// Consumes one retry from the budget of the call's pool.
+    fn take_from_budget(
+        &mut self,
+        now: Time,
+        call_id: id::Call,
+        env: &mut Environment<'_>,
+    ) -> bool {
+        let Some(call) = self.calls.get(&call_id) else {
+            return false;
+        };
+        let importance = call.context.importance;
+        if !env.policy.scheduling.chain_retries {
+            return self
+                .retry_budget
+                .try_take(now, &call.pool, importance, env.rng);
+        }
+        let maker = call.maker().filter(|_| call.is_chain_known);
+        let progress = maker.map_or(Progress::New, |maker| {
+            env.proxy.progress(maker, &call.route)
+        });
+        let class = Class {
+            importance,
+            progress,
+        };
+        let decision = self
+            .retry_budget
+            .try_take_class(now, &call.pool, class, env.rng);
+        env.counts.add(match decision {
+            Decision::Taken => Counter::ChainRetryTaken(progress),
+            Decision::Exhausted => Counter::ChainRetryExhausted(progress),
+            Decision::Reserved => Counter::ChainRetryReserved(progress),
+        });
+        decision == Decision::Taken
+    }
+
     pub(super) fn retry(
         &mut self,
         now: Time,
--- a/src/request/ingress/end.rs
+++ b/src/request/ingress/end.rs
@@ -206,6 +206,10 @@
         if let Some(call) = self.calls.get(&attempt.call) {
             self.balancer
                 .record_service_time(peer, &call.route, report.service);
+            if env.policy.scheduling.speed_balancing {
+                self.balancer
+                    .record_speed(now, peer, &call.route, report.service);
+            }
             let team = &call.context.team;
             // A leaving instance sheds nothing, because it accepts nothing. Its
             // level would hide the overload of the remaining instances.
@@ -259,6 +263,7 @@
     ) {
         if let Some(attempt) = self.attempts.remove(&request) {
             self.balancer.record_end(now, &attempt.peer, observation);
+            self.balancer.stalls.record_end(now, &attempt.peer, request);
         }
     }
 
@@ -268,6 +273,17 @@
         }
     }
 
+    /// Counts a call that has succeeded at the attempt that made it.
+    pub(super) fn record_progress(&mut self, call_id: id::Call, env: &mut Environment<'_>) {
+        if !env.policy.scheduling.chain_retries {
+            return;
+        }
+        let call = self.calls.get(&call_id).filter(|call| call.succeeded);
+        if let Some((call, maker)) = call.and_then(|call| Some((call, call.maker()?))) {
+            env.proxy.record_call_success(maker, &call.route);
+        }
+    }
+
     pub(super) fn remove_call(&mut self, now: Time, call_id: id::Call, env: &mut Environment<'_>) {
         self.leave_token_queue(call_id);
         let Some(call) = self.calls.remove(&call_id) else {
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -9,6 +9,8 @@
 mod attribution;
 #[path = "policy/balance.rs"]
 mod balance;
+#[path = "policy/chain.rs"]
+mod chain;
 #[path = "policy/comeback.rs"]
 mod comeback;
 #[path = "policy/inbound.rs"]
@@ -29,6 +31,10 @@
 mod retry;
 #[path = "policy/signal.rs"]
 mod signal;
+#[path = "policy/speed.rs"]
+mod speed;
+#[path = "policy/stall.rs"]
+mod stall;
 #[path = "policy/throttle.rs"]
 mod throttle;
 #[path = "policy/warmup.rs"]
