--- a/tests/policy/inbound.rs
+++ b/tests/policy/inbound.rs
@@ -45,6 +45,7 @@
     pub proxy: Proxy,
     pub snapshot: Snapshot,
     levels: Levels,
+    pub policy: Policy,
     pub now: Time,
     next: u64,
 }
@@ -84,6 +85,7 @@
             proxy: Proxy::new(LIFE, "p".parse().expect("a name"), true),
             snapshot: snapshot(pool),
             levels: Levels::default(),
+            policy: Policy::default(),
             now: Time::from_ms(1000),
             next: 0,
         };
@@ -96,7 +98,7 @@
             snapshot: &self.snapshot,
             domain: &"here".parse().expect("a name"),
             levels: &mut self.levels,
-            policy: Policy::default(),
+            policy: self.policy,
             rng: &mut ChaCha8Rng::seed_from_u64(self.next),
             counts: &mut Counts::default(),
         };
--- a/tests/policy/speed.rs
+++ b/tests/policy/speed.rs
@@ -13,7 +13,12 @@
         Time, //
     },
     id,
-    inbound::speed::Meter,
+    inbound::{
+        Action,
+        End,
+        Event,
+        speed::Meter, //
+    },
     member::{
         Peer,
         Status,
@@ -32,6 +37,8 @@
 };
 use rand_chacha::ChaCha8Rng;
 
+use crate::inbound::Bench;
+
 const SENDERS: usize = 6;
 const SLOTS: usize = 8;
 /// Mean work of a request, in milliseconds at an instance of speed 1.
@@ -275,17 +282,23 @@
         false => 1.0,
     };
     let rate = 12.0 * SLOTS as f64 / WORK * 0.3;
-    let model = Model::new(12, true, slowed).run(rate, 43_000);
-    let mean = |from: u64, to: u64| {
+    let run = |on| Model::new(12, on, slowed).run(rate, 43_000);
+    let (on, off) = (run(true), run(false));
+    let share = |model: &Model<_>, from: u64, to: u64| {
         let starts = (0..10).map(|period| 3000 + 4000 * period);
         let rates = starts.map(|start| model.rate(0, start + from, start + to));
-        rates.sum::<f64>() / 10.0
+        let others = (1..12).map(|n| model.rate(n, 3000, 43_000)).sum::<f64>() / 11.0;
+        rates.sum::<f64>() / 10.0 / others
     };
-    let others = (1..12).map(|n| model.rate(n, 3000, 43_000)).sum::<f64>() / 11.0;
-    let steps: Vec<_> = (0..20).map(|n| mean(n * 200, n * 200 + 200)).collect();
-    println!("others {others:.1}, by 200 ms {steps:.1?}");
-    assert!(mean(300, 600) < most * others);
-    assert!(mean(1600, 2600) > 0.7 * others);
+    for model in [&on, &off] {
+        let steps: Vec<_> = (0..20)
+            .map(|n| share(model, n * 200, n * 200 + 200))
+            .collect();
+        println!("shares by 200 ms {steps:.2?}");
+    }
+    assert!(share(&on, 300, 600) < most);
+    assert!(share(&on, 300, 600) < share(&off, 300, 600));
+    assert!(share(&on, 1600, 2600) > 0.7);
 }
 
 cases! { follows_a_slowdown:
@@ -380,6 +393,31 @@
     assert!(got[0] > 1000 && got[1] > 1000, "{got:?}");
 }
 
+/// Guards against a service time that includes failures, or that changes while the part
+/// is off. Answers take 100 ms, then five failures take 1 ms.
+fn reports_a_service_time(on: bool, least: u32, most: u32) {
+    let mut bench = Bench::new(r#"{"name":"p","slots":4,"queue":8}"#);
+    bench.policy = policy(on);
+    let mut answer = |status: u16, took: u64| {
+        let (request, _) = bench.attempt(|_| {});
+        bench.now += Span::from_ms(took);
+        let actions = bench.on(Event::Ended(request, End::Answered(status)));
+        actions.into_iter().find_map(|action| match action {
+            Action::Finish(_, _, report) => Some(report.service),
+            _ => None,
+        })
+    };
+    (0..20).for_each(|_| assert!(answer(200, 100).is_some()));
+    (0..5).for_each(|_| assert!(answer(503, 1).is_some()));
+    let service = answer(200, 1).expect("a report");
+    assert!((least..=most).contains(&service), "{service}");
+}
+
+cases! { reports_a_service_time:
+    without_failures => (true, 100, 100),
+    with_failures_while_off => (false, 59, 60),
+}
+
 /// Guards against effects of what is recorded for this part on the choices without it.
 #[test]
 fn nothing_changes_while_it_is_off() {
