Attribution: choose the request by when its chain of calls began

Cause: whether a request has called a route may itself be a wrong guess, so samples from the only request that had not were wrong under load; and a chain whose request ended was attributed anew by the time of a later call. Change: a sample is taken only if no other request may make such calls, and a chain that goes on is matched by its beginning.

--- a/src/request/inbound/caller.rs
+++ b/src/request/inbound/caller.rs
@@ -173,7 +173,7 @@
     ) -> Option<Maker> {
         let (attempt, evidence) = self
             .by_evidence(now, call)
-            .or_else(|| self.by_first_call(now, call.route, levels))?;
+            .or_else(|| self.by_first_call(now, call, levels))?;
         let context = self.track_call(now, call, attempt)?;
         Some(Maker {
             attempt,
@@ -282,36 +282,41 @@
         best.map(|(request, _)| *request)
     }
 
-    /// The attempt, among those that [`Proxy::by_start`] prefers, whose time since its
-    /// start is nearest to the usual time until the first call. Without a usual time,
-    /// the one that started last.
+    /// The attempt, among those that [`Proxy::by_start`] prefers, whose time from its
+    /// start until the start of the chain is nearest to the usual time until the first
+    /// call. Without a usual time, the one that started last.
     fn by_first_call(
         &mut self,
         now: Time,
-        route: &id::Route,
+        call: OutgoingCall<'_>,
         levels: &Levels,
     ) -> Option<(id::Request, Evidence)> {
+        let route = call.route;
         let latest = self.by_start(route, levels)?;
         let preferred = preference(self.running.get(&latest)?, route, levels);
-        let candidates: Vec<_> = self
+        // Whether an attempt has called the route may be a wrong guess as well, so a
+        // sample is taken only if no other attempt can have made the call.
+        let is_caller = |running: &Running| preference(running, route, levels).is_caller;
+        let callers = self
             .active()
-            .filter(|(_, running)| preference(running, route, levels) == preferred)
-            .map(|(request, running)| (*request, running))
-            .collect();
-        if preferred.is_first_call && candidates.len() == 1 {
+            .filter(|(_, running)| is_caller(running) >= preferred.is_caller);
+        let is_single = callers.count() == 1;
+        let chain_start = self.call_attribution.chain_start(now, call.connection);
+        if is_single && preferred.is_first_call && chain_start == now {
             let running = self.running.get(&latest)?;
-            let pair = (running.route.clone(), route.clone());
             let sample = elapsed(now, running);
+            let pair = (running.route.clone(), route.clone());
             self.call_attribution.learn_first_call(pair, sample);
             return Some((latest, Evidence::Single));
         }
         let deviation = |running: &Running| {
             let usual = self.usual_first_call(&running.route, route)?;
-            Some((elapsed(now, running) - usual).abs())
+            Some((elapsed(chain_start, running) - usual).abs())
         };
-        let nearest = candidates
-            .iter()
-            .filter(|_| preferred.is_first_call)
+        let nearest = self
+            .active()
+            .filter(|(_, running)| preferred.is_first_call && running.started() <= chain_start)
+            .filter(|(_, running)| preference(running, route, levels) == preferred)
             .filter_map(|(request, running)| Some((deviation(running)?, *request)))
             .min_by(|(a, _), (b, _)| a.total_cmp(b));
         Some(match nearest {
--- a/src/request/ingress/attempt.rs
+++ b/src/request/ingress/attempt.rs
@@ -28,11 +28,14 @@
     policy::RetryLimit,
     record::Name,
     retry::{
-        self, Decision, Failure, Reason,
+        self,
+        Decision,
+        Failure,
+        Reason,
         class::{
             Class,
             Progress, //
-        },
+        }, //
     },
 };
 
