--- a/src/standin/trial.rs
+++ b/src/standin/trial.rs
@@ -79,6 +79,8 @@
     Slow,
     /// Answering every request at once with a failure.
     Failing,
+    /// Paused for three seconds with its node, links open.
+    Paused,
 }
 
 /// What a failing deepest service leads to.
@@ -330,6 +332,7 @@
     match how {
         Illness::Slow => upstream.slow = 10.0,
         Illness::Failing => upstream.failing = true,
+        Illness::Paused => driver.pause(one, Span::from_secs(3)),
     }
     driver.run_for(Span::from_secs(20));
     let ended = driver.now();
--- a/tests/policy/stall.rs
+++ b/tests/policy/stall.rs
@@ -45,6 +45,13 @@
         Limits,
         Reason, //
     },
+    standin::{
+        site::Site,
+        trial::{
+            self,
+            Illness, //
+        },
+    },
     tables::Tables,
     team::Teams, //
 };
@@ -353,10 +360,6 @@
 fn a_silent_instance_gets_probes_only() {
     let (_, sent_before, failed_before) = one_of_three_is_silent(false, "/read");
     let (bench, sent, failed) = one_of_three_is_silent(true, "/read");
-    eprintln!(
-        "{sent_before} {failed_before} -> {sent} {failed} {:?}",
-        bench.counts
-    );
     assert!(sent <= 6, "{sent} attempts in 2.7 s");
     assert!(sent_before >= 2 * sent, "{sent} instead of {sent_before}");
     assert!(failed_before >= 9, "{failed_before}");
@@ -437,15 +440,21 @@
 /// others. Its timers run before it reads the responses that arrived meanwhile.
 fn a_paused_node_finds_nobody_stalled(pause: Span) {
     let mut bench = Bench::new(true, &["b", "c", "d", "e", "f"]);
-    bench.response_ms = (20, 20);
+    bench.response_ms = (120, 120);
     bench.run_busy(WARMUP, "/slow");
-    // Calls are open at two of five, so that stalls there would not be ignored.
-    for name in ["b", "c", "d"] {
-        let name: id::Instance = name.parse().expect("a name");
-        let answered = bench.work.iter_mut().filter(|work| work.peer == name);
-        answered.for_each(|work| work.answers_at = bench.now);
+    // Calls stay open at two of five, so that stalls there would not be ignored.
+    for work in &mut bench.work {
+        if !["e", "f"].contains(&work.peer.as_str()) {
+            work.answers_at = bench.now;
+            work.ends_at = bench.now;
+        }
     }
-    bench.run(Span::from_ms(10), Span::MAX, &["/slow"]);
+    bench.run(STEP, Span::MAX, &["/slow"]);
+    let open_at = |name: &str| {
+        let open = bench.work.iter().filter(|work| work.peer.as_str() == name);
+        open.count()
+    };
+    assert!(open_at("e") >= 2 || open_at("f") >= 2);
     bench.now += pause;
     bench.on(Event::Tick);
     bench.run_busy(WARMUP, "/slow");
@@ -528,6 +537,34 @@
     bench.members.insert(reborn);
     bench.silence("d", START);
     let from = bench.now;
-    bench.run_busy(Span::from_ms(300), "/read");
-    assert!(bench.sent_to("d", from, bench.now) >= 3);
+    bench.run_busy(Span::from_ms(500), "/read");
+    assert!(bench.sent_to("d", from, bench.now) >= 5);
+    assert_eq!(bench.counts.get(Counter::StallEnded), 0);
+}
+
+/// Returns the share of the requests of a fleet that are answered whole while one
+/// instance of its deepest pool is paused for three seconds.
+fn share_with_a_paused_node(stall_detection: bool, seed: u64) -> f64 {
+    let scheduling = Scheduling {
+        stall_detection,
+        ..Scheduling::default()
+    };
+    let policy = Policy {
+        scheduling,
+        ..Policy::default()
+    };
+    trial::ill(&Site::kandy(), policy, seed, Illness::Paused)
+}
+
+/// Guards against stall detection that helps in the model of one sender and does harm
+/// in a fleet, with membership, admission and nested calls. Single runs differ by a few
+/// requests, so three are taken together.
+#[test]
+fn a_fleet_loses_less_with_a_paused_node() {
+    let lost = |stall_detection| -> f64 {
+        let shares = (1..=3).map(|seed| share_with_a_paused_node(stall_detection, seed));
+        shares.map(|share| 1.0 - share).sum()
+    };
+    let (off, on) = (lost(false), lost(true));
+    assert!(on < 0.7 * off, "{on} instead of {off}");
 }
