--- a/src/request/ingress/attempt.rs
+++ b/src/request/ingress/attempt.rs
@@ -11,7 +11,10 @@
 use crate::{
     admission::Rank,
     allowance::Allowance,
-    balance::Observation,
+    balance::{
+        Balancer,
+        Observation, //
+    },
     clock::{
         Span,
         Time, //
@@ -71,65 +74,9 @@
         if left == Some(None) {
             return self.recharge(now, call_id, env, out);
         }
-        let (picked, no_instance_code) = match &call.claim {
-            Some(claim) => {
-                // A request with an idempotency key is sent only to its record owner.
-                let name = Name {
-                    team: call.context.team.clone(),
-                    key: claim.key.clone(),
-                };
-                let owner = env.records.find(&call.pool, &name, &call.tried);
-                let peer = owner.and_then(|owner| env.members.get(owner));
-                let picked = peer.map(|peer| (peer.instance.clone(), peer.incarnation));
-                (picked, Code::RecordUnavailable)
-            }
-            None if call.only_rejecting_instances => {
-                let picked = self.balancer.pick_from(
-                    now,
-                    env.members,
-                    &call.rejected_by,
-                    env.policy,
-                    env.rng,
-                );
-                (picked, Code::UpstreamRejected)
-            }
-            None => {
-                let probe = match call.tried.is_empty() {
-                    true => self.balancer.pick_probe(
-                        now,
-                        env.members,
-                        &call.pool,
-                        call.is_repeatable(),
-                        env.policy,
-                        env.rng,
-                    ),
-                    false => None,
-                };
-                if probe.is_some() {
-                    env.counts.add(Counter::StallProbed);
-                }
-                let picked = probe.or_else(|| {
-                    self.balancer.pick(
-                        now,
-                        env.members,
-                        &call.pool,
-                        &call.tried,
-                        env.policy,
-                        env.rng,
-                    )
-                });
-                if let Some(crossing) = self.balancer.take_crossing() {
-                    env.counts.add(Counter::Crossed(crossing));
-                }
-                let no_instance_code = match env.members.is_evacuated(&call.pool) {
-                    true => Code::Evacuated,
-                    false => Code::UpstreamAbsent,
-                };
-                (picked, no_instance_code)
-            }
-        };
-        let Some((peer, life)) = picked else {
-            return self.fail(now, call_id, no_instance_code, env, out);
+        let (peer, life) = match pick_instance(&mut self.balancer, now, call, env) {
+            Ok(picked) => picked,
+            Err(code) => return self.fail(now, call_id, code, env, out),
         };
         let reserved_retries = match env.policy.retry_limit {
             RetryLimit::PerHop(_) => 0,
@@ -683,3 +630,56 @@
         }
     }
 }
+
+/// Selects the instance for the call's next attempt, or returns the code to fail the
+/// call with.
+fn pick_instance(
+    balancer: &mut Balancer,
+    now: Time,
+    call: &Call,
+    env: &mut Environment<'_>,
+) -> Result<(id::Instance, id::Incarnation), Code> {
+    if let Some(claim) = &call.claim {
+        // A request with an idempotency key is sent only to its record owner.
+        let name = Name {
+            team: call.context.team.clone(),
+            key: claim.key.clone(),
+        };
+        let owner = env.records.find(&call.pool, &name, &call.tried);
+        let peer = owner.and_then(|owner| env.members.get(owner));
+        let picked = peer.map(|peer| (peer.instance.clone(), peer.incarnation));
+        return picked.ok_or(Code::RecordUnavailable);
+    }
+    if call.only_rejecting_instances {
+        let picked = balancer.pick_from(now, env.members, &call.rejected_by, env.policy, env.rng);
+        return picked.ok_or(Code::UpstreamRejected);
+    }
+    let picked = pick_by_load(balancer, now, call, env);
+    picked.ok_or_else(|| match env.members.is_evacuated(&call.pool) {
+        true => Code::Evacuated,
+        false => Code::UpstreamAbsent,
+    })
+}
+
+/// Selects an instance of the call's pool, or a stalled one that is due for a probe.
+fn pick_by_load(
+    balancer: &mut Balancer,
+    now: Time,
+    call: &Call,
+    env: &mut Environment<'_>,
+) -> Option<(id::Instance, id::Incarnation)> {
+    let (members, pool, policy) = (env.members, &call.pool, env.policy);
+    if call.tried.is_empty() {
+        let is_repeatable = call.is_repeatable();
+        let probe = balancer.pick_probe(now, members, pool, is_repeatable, policy, env.rng);
+        if probe.is_some() {
+            env.counts.add(Counter::StallProbed);
+            return probe;
+        }
+    }
+    let picked = balancer.pick(now, members, pool, &call.tried, policy, env.rng);
+    if let Some(crossing) = balancer.take_crossing() {
+        env.counts.add(Counter::Crossed(crossing));
+    }
+    picked
+}
