--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -16,9 +16,9 @@
     time::{Duration, Instant},
 };
 
-/// How long the node beside the server stands still: the site files' longest.
-const FREEZE: Duration = ms_const(4_000);
-const PERIOD: Duration = ms_const(18_000);
+/// How long the node beside the server stands still; the site files allow 4.0 s.
+const FREEZE: Duration = ms_const(3_600);
+const PERIOD: Duration = ms_const(16_000);
 const FREEZES: u32 = 4;
 /// Photos are uploaded in bursts, one burst in each period.
 const BURST_AT: Duration = ms_const(100);
@@ -26,8 +26,8 @@
 const SLOTS: u32 = 209;
 const WORK: Duration = ms_const(20);
 const READERS: usize = 300;
-const PAUSE: Duration = ms_const(200);
-const UPLOADERS: usize = 140;
+const PAUSE: Duration = ms_const(300);
+const UPLOADERS: usize = 30;
 const UPLOAD_BYTES: usize = 300_000;
 const TIMEOUT: Duration = ms_const(5_000);
 const DEADLINE: Duration = ms_const(8_000);
@@ -134,7 +134,7 @@
                 true => ("POST", format!("/upload/{number}")),
                 false => ("GET", format!("/roster/{number}")),
             };
-            thread::sleep(ms(number as u64 % 200));
+            thread::sleep(ms(number as u64 % 300));
             let mut uploaded = 0;
             while !stop.load(Ordering::Relaxed) {
                 let bursts = burst.load(Ordering::Relaxed);
@@ -198,8 +198,12 @@
     if good * 2 < calls.len() {
         return Ok(None);
     }
-    // "Eight or more of them, and over a quarter"; "more than half".
-    Ok(Some(late.len() >= 8 && late.len() * 2 > long))
+    // "Of the requests that are still unanswered at their route's timeout_ms, more than half have
+    // no answer half a second later": three at least are asked for here.
+    let most = late.len() >= 3 && late.len() * 2 > long;
+    // "Eight or more of them, and over a quarter, have no final answer".
+    let many = late.len() >= 8 && late.len() * 4 > long;
+    Ok(Some(most || many))
 }
 
 fn main() -> ExitCode {
