Never send an id twice over one connection to an upstream

Cause: the response to a request is told from a late copy of another one by the request id alone, and a retry has the id of the request that it repeats. The connection over which the upstream had rejected the request was kept, and the retry went out over it, as it was the one used last. A second, late copy of the rejection was then taken for the response to the retry, which the upstream was running: the node sent it a third time, or told the caller that it had not run. The id can also come again from a caller, many exchanges later, so the memory of the last id is not enough.

Change: a connection remembers the ids that it has carried, as hashes, for as long as it is open, and never carries one twice; it is closed after 1,024 requests, which bounds that memory to 8 KiB. A retry takes another idle connection, or opens one. Two ways around the id are closed too: a response without an id is accepted only as the first one on its connection (else the outcome is unknown, 3003), and a request without an id goes out over a connection that has carried nothing. Interfaces whose upstreams echo no ids, as the product's own, are unchanged.

--- a/src/connection/upstream.rs
+++ b/src/connection/upstream.rs
@@ -7,9 +7,13 @@
 //! drives the codec itself and treats a body as complete only when the codec
 //! reports its end, or at an orderly close where the pool allows that framing.
 
+mod idle;
+
 use std::{
-    cell::RefCell,
-    collections::VecDeque,
+    cell::{
+        Ref,
+        RefCell, //
+    },
     future::Future,
     io,
     net::SocketAddr,
@@ -43,6 +47,11 @@
     Encoder, //
 };
 
+use self::idle::{
+    Connection,
+    Identity, //
+    IdleConnections,
+};
 use super::{
     body::{
         Cut,
@@ -62,7 +71,11 @@
         Time, //
     },
     frame::Head,
-    inbound::End, //
+    inbound::End,
+    metric::{
+        Counter,
+        Counts, //
+    },
 };
 
 /// Timeout for opening a connection.
@@ -92,11 +105,6 @@
 /// Read buffer space reserved before each read, in bytes.
 const READ_BUFFER: usize = 32 << 10;
 
-struct IdleConnection {
-    stream: TcpStream,
-    until: Time,
-}
-
 /// The pool of connections to one upstream.
 pub(crate) struct Pool {
     address: SocketAddr,
@@ -106,7 +114,8 @@
     /// If not, a response without a length is rejected, since it cannot be told
     /// from a truncated one.
     allow_close_delimited: bool,
-    idle: RefCell<VecDeque<IdleConnection>>,
+    idle: IdleConnections,
+    counts: RefCell<Counts>,
     /// Start of the last check whether the upstream had ended, and its result.
     last_check: Mutex<Option<(Time, bool)>>,
 }
@@ -126,7 +135,7 @@
 }
 
 struct Body {
-    stream: TcpStream,
+    connection: Connection,
     framing: Framing,
     input: BytesMut,
     /// Bytes read since the last byte of the body.
@@ -155,49 +164,38 @@
             idle_timeout,
             names,
             allow_close_delimited,
-            idle: RefCell::default(),
+            idle: IdleConnections::default(),
+            counts: RefCell::default(),
             last_check: Mutex::default(),
         }
     }
 
-    /// Takes the most recently used connection that the upstream has not closed.
-    fn take_idle(&self, now: Time) -> Option<TcpStream> {
-        let mut idle = self.idle.borrow_mut();
-        while let Some(IdleConnection { stream, until }) = idle.pop_back() {
-            let fresh = now < until;
-            let mut probe = [0; 1];
-            // An idle connection with unread data or an end of file is unusable:
-            // a request sent on it would have an unknown outcome.
-            let quiet = matches!(stream.try_read(&mut probe),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock);
-            if fresh && quiet {
-                return Some(stream);
-            }
-        }
-        None
+    /// Counters of connections and responses.
+    pub(crate) fn counts(&self) -> Ref<'_, Counts> {
+        self.counts.borrow()
+    }
+
+    fn count(&self, counter: Counter) {
+        self.counts.borrow_mut().add(counter);
     }
 
-    async fn connect(&self) -> Option<TcpStream> {
-        if let Some(stream) = self.take_idle(Clock.now()) {
-            return Some(stream);
+    /// Returns an idle connection that may carry the request, or a new one.
+    async fn connect(&self, identity: &Identity) -> Option<Connection> {
+        if let Ok(connection) = self.idle.take(Clock.now(), identity) {
+            return Some(connection);
         }
         // A check that is in progress leaves its connection for the next request.
         drop(self.last_check.lock().await);
-        if let Some(stream) = self.take_idle(Clock.now()) {
-            return Some(stream);
-        }
+        let reason = match self.idle.take(Clock.now(), identity) {
+            Ok(connection) => return Some(connection),
+            Err(reason) => reason,
+        };
         let connecting = TcpStream::connect(self.address);
         let stream = tokio::time::timeout(CONNECT_TIMEOUT.to_std(), connecting).await;
         let stream = stream.ok()?.ok()?;
         socket::configure(&stream).ok()?;
-        Some(stream)
-    }
-
-    fn store_idle(&self, stream: TcpStream, idle_timeout: Span) {
-        let until = Clock.now() + idle_timeout;
-        self.idle
-            .borrow_mut()
-            .push_back(IdleConnection { stream, until });
+        self.count(Counter::UpstreamConnected(reason));
+        Some(Connection::new(stream))
     }
 
     /// Returns whether the upstream's process has ended, after it broke off an exchange:
@@ -214,7 +212,8 @@
         let has_ended = match tokio::time::timeout(LIVENESS_TIMEOUT.to_std(), connecting).await {
             Ok(Ok(stream)) => {
                 if socket::configure(&stream).is_ok() {
-                    self.store_idle(stream, self.idle_timeout);
+                    let connection = Connection::new(stream);
+                    self.idle.store(Clock.now(), connection, self.idle_timeout);
                 }
                 false
             }
@@ -227,8 +226,7 @@
 
     /// Closes connections that have exceeded their idle timeout.
     pub(crate) fn prune(&self, now: Time) {
-        let mut idle = self.idle.borrow_mut();
-        idle.retain(|idle| now < idle.until);
+        self.idle.prune(now);
     }
 
     /// Sends a request and reads the head of the response.
@@ -238,14 +236,16 @@
     /// [`End::Refused`] when nothing was sent, else [`End::Cut`].
     pub(crate) async fn send(&self, head: &Head, body: Rc<Inlet>) -> Result<Answer, End> {
         let (request, size) = request(head).ok_or(End::Refused)?;
-        let mut stream = self.connect().await.ok_or(End::Refused)?;
+        let identity = Identity::of(head, &self.names);
+        let mut connection = self.connect(&identity).await.ok_or(End::Refused)?;
+        let is_first = connection.record(&identity);
         let codec = RefCell::new(h1::ClientCodec::default());
         let mut input = BytesMut::with_capacity(READ_BUFFER);
-        let (mut reader, mut writer) = stream.split();
+        let (mut reader, mut writer) = connection.stream.split();
         let (answer, sent) = {
             let write = pin!(write(&codec, &mut writer, request, size, &body));
-            let expected_id = header::request(&head.headers, &self.names);
-            let read = pin!(self.read_matching_head(&codec, &mut reader, &mut input, expected_id));
+            let matches = |head: &ResponseHead| self.matches(head, &identity, is_first);
+            let read = pin!(self.read_matching_head(&codec, &mut reader, &mut input, matches));
             receive_while_sending(write, read).await?
         };
         let codec = codec.into_inner();
@@ -278,7 +278,7 @@
         };
         if empty {
             if reuse && input.is_empty() {
-                self.store_idle(stream, idle_timeout);
+                self.idle.store(Clock.now(), connection, idle_timeout);
             }
             return Ok(answer);
         }
@@ -287,7 +287,7 @@
             false => Framing::UntilClose,
         };
         answer.body = Some(Body {
-            stream,
+            connection,
             framing,
             input,
             framing_bytes: 0,
@@ -297,28 +297,53 @@
         Ok(answer)
     }
 
-    /// Reads the head of the response to this request.
+    /// Whether a response belongs to this request.
     ///
-    /// A late or duplicated response would otherwise be taken for the next one,
-    /// and the caller would receive the response to another request. Such a
-    /// response is recognized by the request id that the upstream echoes; it is
+    /// A late or duplicated response would otherwise be taken for the next one, and the
+    /// caller would receive the response to another request. Responses that echo no id
+    /// cannot be told apart, so that only the first one on a connection is accepted.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Cut`] when that cannot be determined.
+    fn matches(
+        &self,
+        head: &ResponseHead,
+        identity: &Identity,
+        is_first: bool,
+    ) -> Result<bool, Cut> {
+        let expected = match identity {
+            Identity::Order => return Ok(true),
+            Identity::Id(expected) => Some(&expected[..]),
+            Identity::Absent => None,
+        };
+        let name = self.names.request;
+        let echoed = name.and_then(|name| head.headers().get(name));
+        match echoed.map(HeaderValue::as_bytes) {
+            None if is_first => Ok(true),
+            None => {
+                self.count(Counter::AnswerUnidentified);
+                Err(Cut)
+            }
+            Some(echoed) => Ok(expected.is_none_or(|expected| expected == echoed)),
+        }
+    }
+
+    /// Reads the head of the response to this request. Responses to other requests are
     /// read and discarded.
     async fn read_matching_head(
         &self,
         codec: &RefCell<h1::ClientCodec>,
         reader: &mut tokio::net::tcp::ReadHalf<'_>,
         input: &mut BytesMut,
-        expected_id: Option<Bytes>,
+        matches: impl Fn(&ResponseHead) -> Result<bool, Cut>,
     ) -> Result<ResponseHead, Cut> {
-        let Some((expected_id, name)) = expected_id.zip(self.names.request) else {
-            return read_head(codec, reader, input).await;
-        };
         for _ in 0..MAX_STRAY_RESPONSES {
             let head = read_head(codec, reader, input).await?;
-            let echoed = head.headers().get(name).map(HeaderValue::as_bytes);
-            if echoed.is_none_or(|echoed| echoed == expected_id) {
+            if matches(&head)? {
                 return Ok(head);
             }
+            self.count(Counter::StrayAnswer);
             let length = content_length(&head)
                 .filter(|length| *length <= MAX_STRAY_BODY)
                 .ok_or(Cut)?;
@@ -373,12 +398,13 @@
                             return Err(Cut);
                         }
                         body.framing_bytes +=
-                            read_required(&mut body.stream, &mut body.input).await?;
+                            read_required(&mut body.connection.stream, &mut body.input).await?;
                     }
                 }
             },
             Framing::UntilClose => {
-                if body.input.is_empty() && read_some(&mut body.stream, &mut body.input).await? == 0
+                if body.input.is_empty()
+                    && read_some(&mut body.connection.stream, &mut body.input).await? == 0
                 {
                     answer.body = None;
                     return Ok(None);
@@ -394,7 +420,8 @@
             && codec.keep_alive()
             && body.input.is_empty()
         {
-            self.store_idle(body.stream, body.idle_timeout);
+            self.idle
+                .store(Clock.now(), body.connection, body.idle_timeout);
         }
         Ok(None)
     }
--- a/src/process/export.rs
+++ b/src/process/export.rs
@@ -129,7 +129,8 @@
         let mut totals: HashMap<Counter, u64> = HashMap::new();
         let core = self.carrier.core();
         let traffic = self.carrier.counts();
-        let sources: [&Counts; 2] = [core.counts(), &traffic];
+        let upstream = self.carrier.upstream.counts();
+        let sources: [&Counts; 3] = [core.counts(), &traffic, &upstream];
         for (counter, count) in sources.into_iter().flat_map(Counts::iter) {
             *totals.entry(counter).or_default() += count;
         }
--- a/src/process/metric.rs
+++ b/src/process/metric.rs
@@ -40,6 +40,15 @@
     Stopped,
 }
 
+/// Why a connection to the upstream was opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Opened {
+    /// No connection was idle.
+    NoneIdle,
+    /// All idle connections had carried a request with the same id before.
+    IdRepeated,
+}
+
 /// A counter. The metric name and its labels derive from the `Debug` form.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Counter {
@@ -114,6 +123,13 @@
     Unauthenticated,
     /// Datagrams dropped because of a wrong authentication tag or malformed content.
     DatagramDropped,
+    /// Connections to the upstream that were opened for a request, by reason.
+    UpstreamConnected(Opened),
+    /// Responses of the upstream that belonged to an earlier request.
+    StrayAnswer,
+    /// Responses of the upstream without a request id, on a connection that had carried
+    /// other requests.
+    AnswerUnidentified,
     /// Links that were established.
     LinkOpened,
     /// Links that broke or could not be established.
--- a/src/process/server.rs
+++ b/src/process/server.rs
@@ -332,6 +332,11 @@
         self.carrier.counts().clone()
     }
 
+    /// Returns the counters of the connections to the upstream.
+    pub fn upstream_counts(&self) -> Counts {
+        self.carrier.upstream.counts().clone()
+    }
+
     /// Returns the numbers of calls, sent attempts and received attempts in
     /// progress.
     pub fn load(&self) -> (usize, usize, usize) {
--- a/src/standin/upstream.rs
+++ b/src/standin/upstream.rs
@@ -42,6 +42,8 @@
 /// A request as the upstream saw it.
 #[derive(Clone, Debug)]
 pub struct Seen {
+    /// Number of the connection over which it came, from 1 on.
+    pub connection: usize,
     /// Its method.
     pub method: String,
     /// Its path and query.
@@ -53,6 +55,14 @@
 }
 
 impl Seen {
+    /// Whether its head announces no body.
+    fn is_bodiless(&self) -> bool {
+        self.header("transfer-encoding").is_none()
+            && self
+                .header("content-length")
+                .is_none_or(|length| length == "0")
+    }
+
     /// The value of a header.
     pub fn header(&self, name: &str) -> Option<&str> {
         let found = self.headers.iter().find(|(other, _)| other == name);
@@ -65,6 +75,9 @@
 pub enum Act {
     /// Answers whole, with this status, headers and body.
     Answer(u16, Vec<(&'static str, String)>, Bytes),
+    /// Writes these bytes, then goes on with another act; before it reads the body if
+    /// the script says so at the head.
+    Before(Bytes, Box<Act>),
     /// Answers in chunks of unknown number: this one, so many times.
     Stream(Bytes, usize),
     /// Writes exactly these bytes, and closes the connection.
@@ -202,12 +215,13 @@
             break;
         };
         state.connections.set(state.connections.get() + 1);
+        let number = state.connections.get();
         state.open.set(state.open.get() + 1);
         let state = state.clone();
         actix_rt::spawn(async move {
             let _ = stream.set_nodelay(true);
             tokio::select! {
-                () = serve(stream, &state) => {}
+                () = serve(stream, number, &state) => {}
                 () = state.deaf() => {}
             }
             state.open.set(state.open.get() - 1);
@@ -220,18 +234,23 @@
 }
 
 /// Serves one connection until either end is done with it.
-async fn serve(mut stream: TcpStream, state: &State) {
+async fn serve(mut stream: TcpStream, number: usize, state: &State) {
     let mut codec = h1::Codec::default();
     let mut input = BytesMut::new();
     let mut output = BytesMut::new();
     while let Some(head) = head(&mut stream, &mut codec, &mut input).await {
-        let mut seen = look(&head);
-        let act = (state.script)(&seen);
-        if let Act::Early(status) = act {
-            remember(state, seen);
-            let answer = Act::Answer(status, Vec::new(), Bytes::new());
-            perform(&mut stream, &mut codec, &mut output, answer, state).await;
-            return;
+        let mut seen = look(&head, number);
+        match (state.script)(&seen) {
+            Act::Early(status) => {
+                remember(state, seen);
+                let answer = Act::Answer(status, Vec::new(), Bytes::new());
+                perform(&mut stream, &mut codec, &mut output, answer, state).await;
+                return;
+            }
+            Act::Before(bytes, _) if !seen.is_bodiless() => {
+                let _ = stream.write_all(&bytes).await;
+            }
+            _ => {}
         }
         let Some(body) = body(&mut stream, &mut codec, &mut input).await else {
             return;
@@ -251,10 +270,11 @@
     }
 }
 
-fn look(request: &Request) -> Seen {
+fn look(request: &Request, connection: usize) -> Seen {
     let text = |value: &[u8]| String::from_utf8_lossy(value).into_owned();
     let headers = request.headers().iter();
     Seen {
+        connection,
         method: request.method().to_string(),
         target: request.uri().to_string(),
         headers: headers
@@ -313,12 +333,21 @@
     mut act: Act,
     state: &State,
 ) -> bool {
-    while let Act::Hold(told, then) = act {
-        // A peer that closes its connection has given up.
-        let mut probe = [0; 1];
-        tokio::select! {
-            () = told.notified() => act = *then,
-            _ = stream.peek(&mut probe) => return false,
+    loop {
+        act = match act {
+            Act::Before(bytes, then) => {
+                let _ = stream.write_all(&bytes).await;
+                *then
+            }
+            Act::Hold(told, then) => {
+                // A peer that closes its connection has given up.
+                let mut probe = [0; 1];
+                tokio::select! {
+                    () = told.notified() => *then,
+                    _ = stream.peek(&mut probe) => return false,
+                }
+            }
+            _ => break,
         }
     }
     match act {
@@ -362,7 +391,7 @@
             }
             false
         }
-        Act::Hold(..) | Act::Early(_) => false,
+        Act::Before(..) | Act::Hold(..) | Act::Early(_) => false,
     }
 }
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -16,6 +16,8 @@
 mod heartbeat;
 #[path = "platform/kv.rs"]
 mod kv;
+#[path = "platform/late_copy.rs"]
+mod late_copy;
 #[path = "platform/names.rs"]
 mod names;
 #[path = "platform/path.rs"]
