Decode each response to the upstream with a codec of its own

What callers would see: an upload is delivered with bytes that its client never sent, or a response is read as the body of a late one before it.

Cause: requests are encoded and responses decoded with one codec. When a late response to another request is discarded, the codec is replaced by a fresh one, while the body of the request may still be encoded with it: the rest of a body without a length loses its chunk framing. A fresh codec does not know the method either, on which depends whether the response has a body; and the length in a late response to HEAD, or one with 204 or 304, was skipped as if a body followed.

Change: the request is encoded with a codec of its own, and each response is decoded with one that knows the method. A late 204 or 304 has no body. A connection that has carried HEAD is not kept, as a late copy of its response cannot be told from one with a body.

--- a/src/connection/upstream.rs
+++ b/src/connection/upstream.rs
@@ -22,7 +22,7 @@
 };
 
 use actix_http::{
-    RequestHead, RequestHeadType, ResponseHead, StatusCode,
+    Method, RequestHead, RequestHeadType, ResponseHead, StatusCode,
     body::BodySize,
     h1,
     header::{
@@ -144,6 +144,14 @@
     idle_timeout: Span,
 }
 
+/// The head of a response, with the codec that decodes its body.
+struct Response {
+    head: ResponseHead,
+    codec: h1::ClientCodec,
+    /// Whether a response to another request came first.
+    is_after_stray: bool,
+}
+
 /// How the end of a response body is determined.
 enum Framing {
     /// By a content length or the last chunk.
@@ -239,16 +247,20 @@
         let identity = Identity::of(head, &self.names);
         let mut connection = self.connect(&identity).await.ok_or(End::Refused)?;
         let is_first = connection.record(&identity);
-        let codec = RefCell::new(h1::ClientCodec::default());
+        let method = request.method.clone();
         let mut input = BytesMut::with_capacity(READ_BUFFER);
         let (mut reader, mut writer) = connection.stream.split();
-        let (answer, sent) = {
-            let write = pin!(write(&codec, &mut writer, request, size, &body));
+        let (response, sent) = {
+            let write = pin!(write(&mut writer, request, size, &body));
             let matches = |head: &ResponseHead| self.matches(head, &identity, is_first);
-            let read = pin!(self.read_matching_head(&codec, &mut reader, &mut input, matches));
+            let read = pin!(self.read_response(&method, &mut reader, &mut input, matches));
             receive_while_sending(write, read).await?
         };
-        let codec = codec.into_inner();
+        let Response {
+            head: answer,
+            codec,
+            is_after_stray,
+        } = response;
         let rejected = self.is_rejection(&answer);
         if !rejected && !self.is_genuine(&answer) {
             return Err(End::Cut);
@@ -258,7 +270,9 @@
             return Err(End::Cut);
         }
         let empty = framed && codec.message_type() == h1::MessageType::None;
-        let reuse = sent && framed && codec.keep_alive();
+        // A second response to `HEAD` looks as if it had a body, so that what follows it
+        // could not be found.
+        let reuse = sent && framed && codec.keep_alive() && !is_after_stray && method != "HEAD";
         let idle_timeout = keep_alive_timeout(answer.headers())
             .map_or(self.idle_timeout, |timeout| timeout.min(self.idle_timeout));
         let length = content_length(&answer).filter(|_| framed);
@@ -331,27 +345,29 @@
 
     /// Reads the head of the response to this request. Responses to other requests are
     /// read and discarded.
-    async fn read_matching_head(
+    async fn read_response(
         &self,
-        codec: &RefCell<h1::ClientCodec>,
+        method: &Method,
         reader: &mut tokio::net::tcp::ReadHalf<'_>,
         input: &mut BytesMut,
         matches: impl Fn(&ResponseHead) -> Result<bool, Cut>,
-    ) -> Result<ResponseHead, Cut> {
-        for _ in 0..MAX_STRAY_RESPONSES {
-            let head = read_head(codec, reader, input).await?;
+    ) -> Result<Response, Cut> {
+        for strays in 0..MAX_STRAY_RESPONSES {
+            let mut codec = response_codec(method);
+            let head = read_head(&mut codec, reader, input).await?;
             if matches(&head)? {
-                return Ok(head);
+                return Ok(Response {
+                    head,
+                    codec,
+                    is_after_stray: strays > 0,
+                });
             }
             self.count(Counter::StrayAnswer);
-            let length = content_length(&head)
-                .filter(|length| *length <= MAX_STRAY_BODY)
-                .ok_or(Cut)?;
-            while (input.len() as u64) < length {
+            let length = stray_length(&head).ok_or(Cut)?;
+            while input.len() < length {
                 read_required(reader, input).await?;
             }
-            let _ = input.split_to(length as usize);
-            *codec.borrow_mut() = h1::ClientCodec::default();
+            let _ = input.split_to(length);
         }
         Err(Cut)
     }
@@ -456,10 +472,10 @@
 async fn receive_while_sending<W, R>(
     mut write: std::pin::Pin<&mut W>,
     mut read: std::pin::Pin<&mut R>,
-) -> Result<(ResponseHead, bool), End>
+) -> Result<(Response, bool), End>
 where
     W: Future<Output = Result<(), WriteError>>,
-    R: Future<Output = Result<ResponseHead, Cut>>,
+    R: Future<Output = Result<Response, Cut>>,
 {
     let mut writing = true;
     let mut sent = false;
@@ -472,7 +488,7 @@
                 // The upstream may have responded before it stopped reading.
                 Err(WriteError::Stream) => writing = false,
             },
-            head = &mut read => return Ok((head.map_err(|_| End::Cut)?, sent)),
+            response = &mut read => return Ok((response.map_err(|_| End::Cut)?, sent)),
         }
     }
 }
@@ -483,18 +499,15 @@
 }
 
 async fn write(
-    codec: &RefCell<h1::ClientCodec>,
     writer: &mut tokio::net::tcp::WriteHalf<'_>,
     request: RequestHead,
     size: BodySize,
     body: &Inlet,
 ) -> Result<(), WriteError> {
     let mut output = BytesMut::with_capacity(1024);
-    let encode = |message, output: &mut BytesMut| {
-        codec
-            .borrow_mut()
-            .encode(message, output)
-            .map_err(|_| WriteError::Body)
+    let mut codec = h1::ClientCodec::default();
+    let mut encode = |message, output: &mut BytesMut| {
+        codec.encode(message, output).map_err(|_| WriteError::Body)
     };
     let head = RequestHeadType::from(request);
     encode(h1::Message::Item((head, size)), &mut output)?;
@@ -527,14 +540,26 @@
         .map_err(|_| WriteError::Stream)
 }
 
+/// Returns a codec for the response to a request with this method.
+fn response_codec(method: &Method) -> h1::ClientCodec {
+    let mut codec = h1::ClientCodec::default();
+    let mut request = RequestHead::default();
+    request.method = method.clone();
+    let request = RequestHeadType::from(request);
+    let message = h1::Message::Item((request, BodySize::None));
+    // Only encoding the request tells the codec its method.
+    let _ = codec.encode(message, &mut BytesMut::new());
+    codec
+}
+
 async fn read_head(
-    codec: &RefCell<h1::ClientCodec>,
+    codec: &mut h1::ClientCodec,
     reader: &mut tokio::net::tcp::ReadHalf<'_>,
     input: &mut BytesMut,
 ) -> Result<ResponseHead, Cut> {
     let mut informational = 0;
     while informational <= MAX_INFORMATIONAL_RESPONSES {
-        let head = codec.borrow_mut().decode(input).map_err(|_| Cut)?;
+        let head = codec.decode(input).map_err(|_| Cut)?;
         match head {
             Some(head) if head.status.as_u16() == 101 => return Err(Cut),
             Some(head) if head.status.is_informational() => informational += 1,
@@ -588,6 +613,16 @@
         || headers.contains_key("transfer-encoding")
 }
 
+/// Returns the length of the body of a response that is discarded, if it is known and
+/// not too long.
+fn stray_length(head: &ResponseHead) -> Option<usize> {
+    if matches!(head.status.as_u16(), 204 | 304) {
+        return Some(0);
+    }
+    let length = content_length(head).filter(|length| *length <= MAX_STRAY_BODY)?;
+    usize::try_from(length).ok()
+}
+
 fn content_length(head: &ResponseHead) -> Option<u64> {
     head.headers()
         .get("content-length")?
--- a/tests/platform/late_copy.rs
+++ b/tests/platform/late_copy.rs
@@ -6,22 +6,35 @@
     rc::Rc, //
 };
 
-use bluebellswitch::standin::{
-    caller::Answer,
-    upstream::{
-        Act,
-        Seen, //
+use bluebellswitch::{
+    metric::Counter,
+    standin::{
+        caller::Answer,
+        upstream::{
+            Act,
+            Seen, //
+        },
     },
 };
+use tokio::{
+    io::{
+        AsyncReadExt,
+        AsyncWriteExt, //
+    },
+    net::TcpStream,
+};
 
 use crate::site::{
     HOST,
     KEY,
     Site,
     run,
+    until,
     whole, //
 };
 
+/// Bytes of one part of an upload, which is streamed since it does not fit a buffer.
+const PART: usize = 1_200_000;
 /// Requests that earn a retry.
 const EARNING: usize = 60;
 
@@ -198,3 +211,69 @@
         assert_eq!((answer.status, &answer.body[..]), (200, &b"run"[..]));
     });
 }
+
+/// The upstream of a site that sends a response to `GET` or `HEAD`, and a copy of it as soon
+/// as the head of a `POST` has come on the same connection.
+async fn start_copying(copy: &'static str) -> Site {
+    let used = Rc::new(RefCell::new(BTreeSet::new()));
+    Site::start(move |seen| {
+        let was_used = !used.borrow_mut().insert(seen.connection);
+        let act = whole(seen, "stock");
+        match seen.method == "POST" && seen.body.is_empty() && was_used {
+            true => Act::Before(copy.into(), Box::new(act)),
+            false => act,
+        }
+    })
+    .await
+}
+
+/// Guards against a request body that is encoded wrongly once a late response to another
+/// request has come.
+#[test]
+fn copy_while_a_request_body_is_sent() {
+    run(async {
+        let copy = "HTTP/1.1 204 No Content\r\nbluebellswitch-request-id: earlier\r\n\r\n";
+        let site = start_copying(copy).await;
+        let mut stream = TcpStream::connect(site.machines[0].node.addresses().callers)
+            .await
+            .expect("a connection");
+        let head = format!(
+            "POST /upload/x HTTP/1.1\r\nhost: {}\r\n{}: {}\r\n{REQUEST_ID}: upload\r\n\
+             transfer-encoding: chunked\r\nconnection: close\r\n\r\n",
+            HOST.1, KEY.0, KEY.1
+        );
+        let part = "x".repeat(PART);
+        let chunk = format!("{PART:x}\r\n{part}\r\n");
+        let first = format!("{head}{chunk}");
+        stream.write_all(first.as_bytes()).await.expect("written");
+        until("the copy has come", || async {
+            let counts = site.machines[1].node.upstream_counts();
+            counts.get(Counter::StrayAnswer) == 1
+        })
+        .await;
+        let rest = format!("{chunk}0\r\n\r\n");
+        stream.write_all(rest.as_bytes()).await.expect("written");
+        let mut answer = String::new();
+        let _ = stream.read_to_string(&mut answer).await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        let seen = site.machines[1].server.seen();
+        let upload = seen.iter().find(|seen| seen.target == "/upload/x");
+        assert_eq!(upload.expect("an upload").body.len(), 2 * PART);
+    });
+}
+
+/// Guards against a late response to `HEAD` whose length is taken for that of a body: what
+/// follows it would be read as that body.
+#[test]
+fn copy_of_a_response_to_head() {
+    run(async {
+        let copy = "HTTP/1.1 200 OK\r\nbluebellswitch-request-id: head\r\n\
+                    bluebellswitch-response-seal: 3e1b.07\r\ncontent-length: 5\r\n\r\n";
+        let site = start_copying(copy).await;
+        let headers = [HOST, KEY, (REQUEST_ID, "head")];
+        let answer = site.front().send("HEAD", "/view/x", &headers, "").await;
+        assert_eq!(answer.expect("an answer").status, 200);
+        let answer = issue(&site, "next").await;
+        assert_eq!((answer.status, &answer.body[..]), (200, &b"stock"[..]));
+    });
+}
