Release attempts by their link, and answer each call by its deadline

Cause: a call that is sent again to the same node, as its backoff is drawn as zero, is registered while the loss of the link is being handled. After that the I/O layer released all attempts to this peer, the new one among them. Its answer found no attempt and was dropped without a word; its end made the router forget the call, and with it the deadline. Nothing was left that could answer.

Change, in two parts, since either alone would leave the other open: - An attempt knows the link that it was sent over. The loss of a link names the attempts that it carried; only these are released and counted as lost, by the I/O layer and the router alike. The end of an attempt counts only from the peer that it was sent to. - The deadline of each call is kept apart from its attempts, links and timers (ingress/unanswered.rs). It goes away when the caller has been given the head of an answer, a refusal, or has left; nothing else removes it.

Two harnesses that drive the router alone now confirm deliveries, as the I/O layer does; they check what they checked before.

--- a/src/process/carrier.rs
+++ b/src/process/carrier.rs
@@ -96,6 +96,8 @@
 pub(crate) struct SentAttempt {
     pub(crate) call: id::Call,
     pub(crate) peer: id::Instance,
+    /// Number of the link that it was sent over; `None` at this node itself.
+    pub(crate) link: Option<u64>,
     pub(crate) inlet: Rc<Inlet>,
     pub(crate) outlet: Rc<Outlet>,
     pub(crate) head: Option<Head>,
@@ -357,11 +359,13 @@
         attempts.values().any(|attempt| attempt.peer == *peer)
     }
 
-    /// Attempts sent to the peer that are in progress.
-    pub(crate) fn attempts_to(&self, peer: &id::Instance) -> Vec<id::Request> {
+    /// Attempts sent over an outbound link that are in progress.
+    pub(crate) fn attempts_over(&self, link: u64) -> Vec<id::Request> {
         let attempts = self.attempts.borrow();
-        let theirs = attempts.iter().filter(|(_, attempt)| attempt.peer == *peer);
-        theirs.map(|(request, _)| *request).collect()
+        let over_it = attempts
+            .iter()
+            .filter(|(_, attempt)| attempt.link == Some(link));
+        over_it.map(|(request, _)| *request).collect()
     }
 
     pub(crate) fn drain(&self) {
@@ -496,9 +500,11 @@
         peer: &id::Instance,
     ) -> Rc<Outlet> {
         let outlet = Outlet::new();
+        let carrier = self.weak.upgrade().filter(|_| *peer != self.me.instance);
         let attempt = SentAttempt {
             call,
             peer: peer.clone(),
+            link: carrier.map(|carrier| Links::ensure_outbound(&carrier, peer)),
             inlet: self.inlet(peer, request, Side::Answer),
             outlet: outlet.clone(),
             head: None,
@@ -523,20 +529,26 @@
         })
     }
 
+    /// Relays an answer to the handler of its caller.
     fn deliver(&self, call: id::Call, request: id::Request) {
         let mut calls = self.calls.borrow_mut();
-        let mut attempts = self.attempts.borrow_mut();
-        let (Some(pending), Some(attempt)) = (calls.get_mut(&call), attempts.get_mut(&request))
-        else {
+        let waiting = |pending: &&mut Pending| pending.reply.is_some();
+        let Some(pending) = calls.get_mut(&call).filter(waiting) else {
             return;
         };
-        if pending.reply.is_some()
-            && let Some(head) = attempt.head.take()
-        {
-            pending.delivered = Some(request);
-            self.record_answered(pending, request, head.status);
-            pending.send_reply(Clock.now(), Reply::Answer(head, attempt.inlet.clone()));
-        }
+        let mut attempts = self.attempts.borrow_mut();
+        let attempt = attempts.get_mut(&request);
+        let answer = attempt.and_then(|attempt| Some((attempt.head.take()?, &attempt.inlet)));
+        let Some((head, inlet)) = answer else {
+            log::error!(call = call.0, request:% = request; "an answer was lost");
+            self.count(Counter::AnswerLost);
+            drop((calls, attempts));
+            return self.on(Event::AnswerLost(call, request));
+        };
+        pending.delivered = Some(request);
+        self.record_answered(pending, request, head.status);
+        pending.send_reply(Clock.now(), Reply::Answer(head, inlet.clone()));
+        self.core_mut().record_delivered(call);
     }
 
     /// Refuses a call. An answer that has already begun is cut off.
--- a/src/process/intake.rs
+++ b/src/process/intake.rs
@@ -173,6 +173,12 @@
         match cleanup {
             Cleanup::Nothing => {}
             Cleanup::Attempt(request) => self.forget_attempt(request),
+            Cleanup::AttemptAt(peer, request) => {
+                let is_theirs = |attempt: &SentAttempt| attempt.peer == peer;
+                if self.attempts.borrow().get(&request).is_some_and(is_theirs) {
+                    self.forget_attempt(request);
+                }
+            }
             Cleanup::CancelledRequest(request) => {
                 let not_started = |running: &ReceivedAttempt| running.abort.is_none();
                 if self.running.borrow().get(&request).is_some_and(not_started) {
@@ -180,14 +186,9 @@
                 }
             }
             Cleanup::EndedRequest(request) => self.forget_running(request),
-            Cleanup::OutboundLink(peer) => {
-                let mut attempts = self.attempts.borrow_mut();
-                let lost = attempts.extract_if(|_, attempt| attempt.peer == peer);
-                let lost: Vec<_> = lost.collect();
-                drop(attempts);
-                lost.into_iter()
-                    .for_each(|(_, attempt)| attempt.close_bodies());
-            }
+            Cleanup::LostAttempts(lost) => lost
+                .into_iter()
+                .for_each(|request| self.forget_attempt(request)),
             Cleanup::InboundLink(peer) => {
                 let not_started =
                     |running: &ReceivedAttempt| running.abort.is_none() && running.peer == peer;
@@ -228,12 +229,15 @@
     Nothing,
     /// The attempt that this node sent for the request.
     Attempt(id::Request),
+    /// The same, if it was sent to this peer.
+    AttemptAt(id::Instance, id::Request),
     /// The cancelled request, unless the upstream has begun to run it.
     CancelledRequest(id::Request),
     /// The request, which this node has finished running.
     EndedRequest(id::Request),
-    /// All attempts that were sent over the lost outbound link to a peer.
-    OutboundLink(id::Instance),
+    /// The attempts that were sent over a lost link. One that the core sends in their
+    /// place, over the next link to the same peer, is not among them.
+    LostAttempts(Vec<id::Request>),
     /// All requests from the lost inbound link of a peer that have not started.
     InboundLink(id::Instance),
 }
@@ -242,13 +246,13 @@
     /// Returns what to release after an event.
     pub(crate) fn after(event: &Event) -> Self {
         match event {
-            Event::Frame(_, Frame::Finish { request, .. } | Frame::Refuse { request, .. }) => {
-                Self::Attempt(*request)
+            Event::Frame(peer, Frame::Finish { request, .. } | Frame::Refuse { request, .. }) => {
+                Self::AttemptAt(peer.clone(), *request)
             }
             Event::Frame(_, Frame::Cancel { request }) => Self::CancelledRequest(*request),
             Event::AttemptUnsent(request) => Self::Attempt(*request),
             Event::AttemptEnded(request, _) => Self::EndedRequest(*request),
-            Event::OutboundLinkLost(peer) => Self::OutboundLink(peer.clone()),
+            Event::OutboundLinkLost(_, lost) => Self::LostAttempts(lost.clone()),
             Event::InboundLinkLost(peer) => Self::InboundLink(peer.clone()),
             _ => Self::Nothing,
         }
--- a/src/process/links.rs
+++ b/src/process/links.rs
@@ -87,12 +87,14 @@
         }
     }
 
-    /// Dials a peer unless there is an outbound link to it.
-    pub(crate) fn ensure_outbound(carrier: &Rc<Carrier>, peer: &id::Instance) {
+    /// Dials a peer unless there is an outbound link to it, and returns the number of
+    /// the link.
+    pub(crate) fn ensure_outbound(carrier: &Rc<Carrier>, peer: &id::Instance) -> u64 {
         let mut links = carrier.links.outbound.borrow_mut();
-        links
+        let link = links
             .entry(peer.clone())
             .or_insert_with(|| dial(carrier, peer));
+        link.number
     }
 
     /// Sends a frame over the inbound link of a peer. Without one the frame is
@@ -135,9 +137,10 @@
     pub(crate) fn cut_all(&self, carrier: &Carrier) {
         let outbound: Vec<_> = self.outbound.borrow_mut().drain().collect();
         let inbound: Vec<_> = self.inbound.borrow_mut().drain().collect();
-        outbound
-            .into_iter()
-            .for_each(|(peer, _)| carrier.on(Event::OutboundLinkLost(peer)));
+        for (peer, link) in outbound {
+            let lost = carrier.attempts_over(link.number);
+            carrier.on(Event::OutboundLinkLost(peer, lost));
+        }
         inbound
             .into_iter()
             .for_each(|(peer, _)| carrier.on(Event::InboundLinkLost(peer)));
@@ -266,14 +269,11 @@
     // If the link was never opened, no frame was sent over it, so its attempts
     // were not run. They must not be reported as lost later: a retry may already
     // be under way to the same peer over the next link.
-    let unsent = match opened {
-        true => Vec::new(),
-        false => carrier.attempts_to(&peer),
-    };
-    if unsent.is_empty() {
-        return carrier.on(Event::OutboundLinkLost(peer));
+    let attempts = carrier.attempts_over(number);
+    if opened || attempts.is_empty() {
+        return carrier.on(Event::OutboundLinkLost(peer, attempts));
     }
-    for request in unsent {
+    for request in attempts {
         carrier.on(Event::AttemptUnsent(request));
     }
 }
--- a/src/process/metric.rs
+++ b/src/process/metric.rs
@@ -138,6 +138,11 @@
     LinkLimit,
     /// Connections refused because the maximum number was reached.
     ConnectionLimit,
+    /// Calls that were refused at their deadline although nothing was known of them any
+    /// more.
+    CallForgotten,
+    /// Answers that arrived but could not be relayed, as their attempt was released.
+    AnswerLost,
     /// Answers that were cut off before the caller had received them completely.
     AnswerCut,
     /// Requests of callers whose connection ended before there was an answer.
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -211,9 +211,12 @@
     /// and none will. An attempt that may have been sent in part is reported
     /// only through [`Event::OutboundLinkLost`].
     AttemptUnsent(id::Request),
-    /// The link to an instance was lost: the outcome of attempts sent over it is
-    /// unknown.
-    OutboundLinkLost(id::Instance),
+    /// The link to an instance was lost: the outcome of these attempts, which were sent
+    /// over it, is unknown. Attempts over a later link to the same instance are not
+    /// affected.
+    OutboundLinkLost(id::Instance, Vec<id::Request>),
+    /// The answer to this attempt could not be relayed, as the attempt was released.
+    AnswerLost(id::Call, id::Request),
     /// A link to an instance was opened.
     OutboundLinkOpened(id::Instance),
     /// An instance has answered an [`Action::Ping`].
@@ -429,6 +432,16 @@
         self.policy.scheduling = scheduling;
     }
 
+    /// Records that the caller was given the head of its answer.
+    pub fn record_delivered(&mut self, call: id::Call) {
+        self.router.record_delivered(call);
+    }
+
+    /// Returns the attempts at an instance that have not ended.
+    pub fn attempts_at(&self, peer: &id::Instance) -> Vec<id::Request> {
+        self.router.attempts_at(peer)
+    }
+
     /// Records that a part of a body arrived from a node or was taken by it.
     pub(crate) fn record_body_progress(&mut self, now: Time, peer: &id::Instance) {
         self.router.record_body_progress(now, peer);
@@ -453,8 +466,11 @@
             Event::AttemptUnsent(request) => {
                 self.run_router(now, ingress::Event::AttemptUnsent(request), out);
             }
-            Event::OutboundLinkLost(peer) => {
-                self.run_router(now, ingress::Event::LinkLost(peer.clone()), out);
+            Event::AnswerLost(call, request) => {
+                self.run_router(now, ingress::Event::AnswerLost(call, request), out);
+            }
+            Event::OutboundLinkLost(peer, lost) => {
+                self.run_router(now, ingress::Event::LinkLost(peer.clone(), lost), out);
                 match self.discovery.is_some() {
                     true => self.discovery_link_lost(now, &peer),
                     false => self.gossip_link_lost(now, &peer, out),
--- a/src/request/ingress.rs
+++ b/src/request/ingress.rs
@@ -9,6 +9,7 @@
 mod call;
 mod end;
 mod silence;
+mod unanswered;
 
 use std::collections::{
     BTreeMap,
@@ -22,6 +23,7 @@
     Call,
     TokenQueue, //
 };
+use self::unanswered::Unanswered;
 use crate::{
     admission::seen::Levels,
     backpressure::{
@@ -120,8 +122,11 @@
     Refused(id::Instance, id::Request, Code, Report),
     /// The attempt was never sent, and won't be.
     AttemptUnsent(id::Request),
-    /// The link to an instance was lost or couldn't be established.
-    LinkLost(id::Instance),
+    /// The link to an instance was lost, with these attempts that were sent over it, or
+    /// couldn't be established.
+    LinkLost(id::Instance, Vec<id::Request>),
+    /// The response of this attempt could not be relayed to the caller.
+    AnswerLost(id::Call, id::Request),
     /// The reply to [`Action::Revoke`].
     RevokeResult(id::Instance, id::Request, Fate),
     /// An attempt at the local upstream that made nested calls has ended.
@@ -211,6 +216,7 @@
     /// Calls waiting for a rate token, by team.
     token_queues: BTreeMap<id::Team, TokenQueue>,
     timers: BTreeSet<(Time, id::Call)>,
+    unanswered: Unanswered,
     balancer: Balancer,
     /// Announcements of upstreams, to be passed to their restarted nodes.
     hints: Hints,
@@ -231,6 +237,7 @@
             nested_calls: BTreeMap::new(),
             token_queues: BTreeMap::new(),
             timers: BTreeSet::new(),
+            unanswered: Unanswered::default(),
             balancer: Balancer::new(own),
             hints: Hints::default(),
             retry_budget: Budget::default(),
@@ -272,9 +279,22 @@
         self.calls.is_empty()
     }
 
+    /// Returns the attempts at an instance that have not ended.
+    pub fn attempts_at(&self, peer: &id::Instance) -> Vec<id::Request> {
+        let attempts = self.attempts.iter();
+        let theirs = attempts.filter(|(_, attempt)| attempt.peer == *peer);
+        theirs.map(|(request, _)| *request).collect()
+    }
+
+    /// Records that the caller was given the head of its response.
+    pub fn record_delivered(&mut self, call: id::Call) {
+        self.unanswered.remove(call);
+    }
+
     /// Returns when the next timer expires.
     pub fn due(&self) -> Time {
-        self.timers.first().map_or(Time::NEVER, |(at, _)| *at)
+        let timer = self.timers.first().map_or(Time::NEVER, |(at, _)| *at);
+        timer.min(self.unanswered.due())
     }
 
     /// Handles an event and appends the resulting actions to `out`.
@@ -299,7 +319,8 @@
                 self.refused(now, &peer, request, code, report, env, out);
             }
             Event::AttemptUnsent(request) => self.attempt_unsent(now, request, env, out),
-            Event::LinkLost(peer) => self.link_lost(now, &peer, env, out),
+            Event::LinkLost(peer, lost) => self.link_lost(now, &peer, &lost, env, out),
+            Event::AnswerLost(call, request) => self.answer_lost(now, call, request, env, out),
             Event::RevokeResult(peer, request, fate) => {
                 self.revoke_result(now, &peer, request, fate, env, out);
             }
@@ -324,6 +345,9 @@
             self.last_silence_check = now;
             self.check_silent_peers(now, env, out);
         }
+        while let Some(call_id) = self.unanswered.take_expired(now) {
+            self.deadline_passed(now, call_id, env, out);
+        }
         while let Some((at, call_id)) = self.timers.first().copied() {
             if at > now {
                 return;
--- a/src/request/ingress/arrival.rs
+++ b/src/request/ingress/arrival.rs
@@ -143,6 +143,7 @@
             context,
         };
         self.timers.insert((deadline, arrival.call));
+        self.unanswered.insert(arrival.call, deadline);
         self.calls.insert(arrival.call, call);
         Ok(())
     }
--- a/src/request/ingress/attempt.rs
+++ b/src/request/ingress/attempt.rs
@@ -1,5 +1,7 @@
 //! Sending attempts and handling their outcomes.
 
+use std::collections::BTreeMap;
+
 use super::{
     Action, Environment, Router,
     call::{
@@ -291,24 +293,51 @@
 
     /// Handles a lost link. Its attempts may have run: a call that may be retried is
     /// sent elsewhere at once, for any other the inbound proxy is queried.
+    ///
+    /// Queries about earlier attempts at the same instance are lost with any link to it.
     pub(super) fn link_lost(
         &mut self,
         now: Time,
         peer: &id::Instance,
+        lost: &[id::Request],
         env: &mut Environment<'_>,
         out: &mut Vec<Action>,
     ) {
-        let lost: Vec<_> = self
-            .attempts
+        let is_queried = |attempt: &Attempt| {
+            let call = self.calls.get(&attempt.call);
+            attempt.peer == *peer
+                && call.is_some_and(|call| matches!(call.state, State::Revoking { .. }))
+        };
+        let queried = self.attempts.iter();
+        let queried = queried.filter(|(_, attempt)| is_queried(attempt));
+        let lost = lost
             .iter()
-            .filter(|(_, attempt)| attempt.peer == *peer)
+            .filter_map(|request| self.attempts.get_key_value(request));
+        let affected: BTreeMap<_, _> = queried
+            .chain(lost)
             .map(|(request, attempt)| (*request, attempt.call))
             .collect();
-        for (request, call_id) in lost {
+        for (request, call_id) in affected {
             self.attempt_link_lost(now, request, call_id, env, out);
         }
     }
 
+    /// Handles a response that could not be relayed to its caller.
+    pub(super) fn answer_lost(
+        &mut self,
+        now: Time,
+        call_id: id::Call,
+        request: id::Request,
+        env: &mut Environment<'_>,
+        out: &mut Vec<Action>,
+    ) {
+        let is_delivering = |call: &Call| call.state == State::Delivering(request);
+        if self.calls.get(&call_id).is_some_and(is_delivering) {
+            self.cancel_attempt(now, call_id, env.policy, out);
+            self.fail(now, call_id, Code::LinkLost, env, out);
+        }
+    }
+
     fn attempt_link_lost(
         &mut self,
         now: Time,
--- a/src/request/ingress/end.rs
+++ b/src/request/ingress/end.rs
@@ -52,6 +52,7 @@
         env.counts.add(Counter::Refused(code));
         let wait = self.retry_after(now, call_id, code, env);
         out.push(Action::Refuse(call_id, code, wait));
+        self.unanswered.remove(call_id);
         self.remove_call(now, call_id, env);
     }
 
@@ -112,6 +113,11 @@
         env: &mut Environment<'_>,
         out: &mut Vec<Action>,
     ) {
+        if !self.calls.contains_key(&call_id) {
+            env.counts.add(Counter::CallForgotten);
+            env.counts.add(Counter::Refused(Code::DeadlinePassed));
+            return out.push(Action::Refuse(call_id, Code::DeadlinePassed, None));
+        }
         let code = match self.cancel_attempt(now, call_id, env.policy, out) {
             true => Code::DeadlinePassed,
             false => Code::DeadlineUnfit,
@@ -142,6 +148,7 @@
         env: &mut Environment<'_>,
         out: &mut Vec<Action>,
     ) {
+        self.unanswered.remove(call_id);
         let sent = self.cancel_attempt(now, call_id, env.policy, out);
         let Some(call) = self.calls.get_mut(&call_id) else {
             return;
@@ -178,7 +185,7 @@
     }
 
     /// Cancels the call's attempt. Returns whether there was one.
-    fn cancel_attempt(
+    pub(super) fn cancel_attempt(
         &mut self,
         now: Time,
         call_id: id::Call,
--- a/src/standin/driver.rs
+++ b/src/standin/driver.rs
@@ -101,6 +101,8 @@
     pub double: f64,
     /// The share of frames in flight that arrive although their link was cut.
     pub cross: f64,
+    /// The share of answers that arrive and are not passed on to their callers.
+    pub undelivered: f64,
     /// Whether a cut link is noticed only after two seconds.
     pub silent: bool,
 }
@@ -679,7 +681,13 @@
             }
             Action::Dial(_) | Action::Log(_) => {}
             Action::Ping(peer) => self.ping(node, peer),
+            Action::Deliver(call, request) if self.loses_answer() => {
+                self.ledger.delivered(self.now, call.0 as usize, request);
+            }
             Action::Deliver(call, request) => {
+                if let Some(core) = &mut self.nodes[node].core {
+                    core.record_delivered(call);
+                }
                 let wrong = u64::from(self.plant == Some(Promise::Whole));
                 let call = id::Call(call.0.saturating_sub(wrong));
                 self.ledger.delivered(self.now, call.0 as usize, request);
--- a/src/standin/driver/net.rs
+++ b/src/standin/driver/net.rs
@@ -26,6 +26,16 @@
         self.setup.net.loss = share;
     }
 
+    /// Changes the share of answers that are not passed on to their callers.
+    pub fn lose_answers(&mut self, share: f64) {
+        self.setup.net.undelivered = share;
+    }
+
+    pub(super) fn loses_answer(&mut self) -> bool {
+        let share = self.setup.net.undelivered;
+        share > 0.0 && self.rng.random_bool(share)
+    }
+
     /// Cuts the network between two nodes, or joins it again.
     pub fn cut(&mut self, a: usize, b: usize, cut: bool) {
         match cut {
@@ -48,8 +58,10 @@
         for (at, of) in [(a, b), (b, a)] {
             let peer = self.nodes[of].identity.peer.instance.clone();
             let life = self.nodes[at].life;
+            let core = self.nodes[at].core.as_ref();
+            let lost = core.map_or_else(Vec::new, |core| core.attempts_at(&peer));
             for event in [
-                Event::OutboundLinkLost(peer.clone()),
+                Event::OutboundLinkLost(peer.clone(), lost),
                 Event::InboundLinkLost(peer),
             ] {
                 self.push(self.now + after, What::Node(at, life, Box::new(event)));
@@ -102,7 +114,7 @@
             if let Frame::Attempt { request, .. } = frame {
                 fail(Event::AttemptUnsent(request));
             }
-            fail(Event::OutboundLinkLost(peer.clone()));
+            fail(Event::OutboundLinkLost(peer.clone(), Vec::new()));
             return;
         }
         let epoch = self.epochs.get(&pair(from, to)).copied().unwrap_or(0);
--- a/src/standin/site.rs
+++ b/src/standin/site.rs
@@ -278,6 +278,7 @@
                 loss: 0.0,
                 double: 0.0,
                 cross: 0.0,
+                undelivered: 0.0,
                 silent: false,
             },
             spy: false,
--- a/tests/driver.rs
+++ b/tests/driver.rs
@@ -87,6 +87,7 @@
             loss: 0.0,
             double: 0.0,
             cross: 0.0,
+            undelivered: 0.0,
             silent: false,
         },
         spy: false,
--- a/tests/fleet/listed.rs
+++ b/tests/fleet/listed.rs
@@ -65,6 +65,7 @@
             loss: 0.0,
             double: 0.0,
             cross: 0.0,
+            undelivered: 0.0,
             silent,
         },
         spy: false,
--- a/tests/fleet/membership.rs
+++ b/tests/fleet/membership.rs
@@ -85,7 +85,7 @@
     let now = driver.now();
     let core = driver.core(0).expect("a living node");
     let mut out = Vec::new();
-    core.on(now, Event::OutboundLinkLost(name(6)), &mut out);
+    core.on(now, Event::OutboundLinkLost(name(6), Vec::new()), &mut out);
     let serves = |core: &mut bluebellswitch::node::Core| {
         core.members()
             .serving(&pool)
--- a/tests/fleet/site.rs
+++ b/tests/fleet/site.rs
@@ -78,6 +78,7 @@
             loss,
             double: loss / 2.0,
             cross: 0.0,
+            undelivered: 0.0,
             silent: true,
         },
         spy: false,
--- a/tests/path/link.rs
+++ b/tests/path/link.rs
@@ -10,6 +10,7 @@
     metric::Counter,
     standin::upstream::Act, //
 };
+use futures_util::future::join_all;
 use tokio::{
     io::copy_bidirectional,
     net::{
@@ -29,6 +30,10 @@
     until, //
 };
 
+/// Requests under way at a time, and how often their link is cut.
+const CALLERS: usize = 40;
+const ROUNDS: usize = 5;
+
 /// The link breaks while a request that must not run twice is running. Its
 /// outcome is unknown, and the caller is told so; it does not run again.
 #[test]
@@ -110,6 +115,39 @@
     answer_on_a_replaced_link_is_unknown => (|site, _| site.edge.cut_links()),
 }
 
+/// Guards against an attempt over the next link that is released with those of the lost
+/// one: its answer would reach nobody, and its caller would wait for ever.
+#[test]
+fn attempts_over_the_next_link_are_answered() {
+    run(async {
+        let release = Rc::new(Notify::new());
+        let held = release.clone();
+        let site =
+            Site::start(move |_| Act::Hold(held.clone(), Box::new(Act::whole("whole")))).await;
+        let mut whole = 0;
+        for _ in 0..ROUNDS {
+            let callers: Vec<_> = (0..CALLERS).map(|_| site.caller()).collect();
+            let requests = callers.iter().map(|caller| caller.get("/a", &[AUTH]));
+            let cut = async {
+                until("they run", || site.inner.load().2 == CALLERS).await;
+                site.edge.cut_links();
+                until("they are answered", || {
+                    release.notify_waiters();
+                    site.edge.load() == (0, 0, 0)
+                })
+                .await;
+            };
+            let (answers, ()) = tokio::join!(join_all(requests), cut);
+            for answer in answers {
+                let answer = answer.expect("an answer");
+                assert!([200, 502, 503].contains(&answer.status), "{answer:?}");
+                whole += usize::from(answer.status == 200);
+            }
+        }
+        assert!(whole > 0, "none was sent again");
+    });
+}
+
 /// The peer cannot be reached at all. Nothing was sent, so "not run" is true.
 #[test]
 fn link_that_cannot_be_made_is_not_run() {
--- a/tests/policy/orders.rs
+++ b/tests/policy/orders.rs
@@ -290,7 +290,10 @@
                 self.wire(to(&peer), event);
             }
             ingress::Action::Hint(..) => {}
-            ingress::Action::Deliver(..) => self.told = true,
+            ingress::Action::Deliver(call, _) => {
+                self.told = true;
+                self.router.record_delivered(call);
+            }
             ingress::Action::Refuse(_, code, _) => {
                 self.told = true;
                 self.told_not_run |= code.verdict() == Verdict::NotRun;
@@ -371,7 +374,8 @@
 
     fn cut(&mut self, number: usize) {
         let old = self.links[number];
-        let broken = ingress::Event::LinkLost(instance(number));
+        let lost = self.router.attempts_at(&instance(number));
+        let broken = ingress::Event::LinkLost(instance(number), lost);
         self.wires.push(Wire::ToRouter(broken));
         let lost = inbound::Event::Broken("a".parse().expect("a name"));
         self.wires.push(Wire::ToProxy(old, lost));
--- a/tests/regression.rs
+++ b/tests/regression.rs
@@ -13,3 +13,5 @@
 mod named_limit;
 #[path = "regression/turned_away.rs"]
 mod turned_away;
+#[path = "regression/unanswered.rs"]
+mod unanswered;
