Drop what arrives over a link that was replaced

What callers would see: a request that may be repeated runs a second time, after its retry was answered, and takes a slot that nobody waits for.

Cause: when a peer's next link arrives, its first one counts as lost, but is read to its end. An attempt that was still on the way over it was run, under a number that its sender had given up, and nothing ended it. (One that must not run twice was refused already, as its sender revokes it over the next link.)

Change: the first frame over a replaced link closes it.

--- a/src/process/links.rs
+++ b/src/process/links.rs
@@ -107,6 +107,12 @@
         }
     }
 
+    /// Whether this is the inbound link of the peer, and no later one has replaced it.
+    fn is_current_inbound(&self, peer: &id::Instance, number: u64) -> bool {
+        let links = self.inbound.borrow();
+        links.get(peer).is_some_and(|link| link.number == number)
+    }
+
     /// Closes idle outbound links. Queued frames are still sent, since a closed
     /// queue is drained first.
     pub(crate) fn prune(&self, carrier: &Carrier, now: Time) {
@@ -200,15 +206,20 @@
         carrier.on(Event::InboundLinkLost(peer.clone()));
     }
     carrier.count(Counter::LinkOpened);
-    link::run(socket, queued, frame_handler(&carrier, &peer, true)).await;
+    let handle = frame_handler(&carrier, &peer, true);
+    let handler = {
+        let (carrier, peer) = (carrier.clone(), peer.clone());
+        Rc::new(
+            move |incoming| match carrier.links.is_current_inbound(&peer, number) {
+                true => handle(incoming),
+                false => Err(Error::new(Fault::Frame, "the link was replaced")),
+            },
+        )
+    };
+    link::run(socket, queued, handler).await;
     drop(end);
-    let mut links = carrier.links.inbound.borrow_mut();
-    let is_current = links.get(&peer).is_some_and(|link| link.number == number);
-    if is_current {
-        links.remove(&peer);
-    }
-    drop(links);
-    if is_current {
+    if carrier.links.is_current_inbound(&peer, number) {
+        carrier.links.inbound.borrow_mut().remove(&peer);
         carrier.on(Event::InboundLinkLost(peer));
     }
 }
--- a/tests/path/link.rs
+++ b/tests/path/link.rs
@@ -30,6 +30,39 @@
     until, //
 };
 
+/// Guards against an attempt that arrives over a link which was replaced: its sender has
+/// sent the request again, so that it would run twice.
+#[test]
+fn attempt_on_a_replaced_link_does_not_run() {
+    run(async {
+        let site = Site::start(|_| Act::whole("whole")).await;
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let mut peer = site.inner.peer();
+        peer.ready = true;
+        let direct = peer.clone();
+        let link = std::mem::replace(&mut peer.link, listener.local_addr().expect("an address"));
+        let (stalled, goes_on) = (Rc::new(Notify::new()), Rc::new(Notify::new()));
+        let forwarding = actix_rt::spawn(forward(listener, link, stalled.clone(), goes_on.clone()));
+        site.edge.join(peer);
+        let caller = site.caller();
+        caller.get("/before", &[AUTH]).await.expect("whole");
+        stalled.notify_one();
+        let request = caller.get("/a", &[AUTH]);
+        let replaced = async {
+            until("it is sent", || site.edge.load().1 == 1).await;
+            site.edge.join(direct);
+            site.edge.cut_links();
+        };
+        let (answer, ()) = tokio::join!(request, replaced);
+        assert_eq!(answer.expect("an answer").status, 200);
+        goes_on.notify_one();
+        until("the first link has ended", || forwarding.is_finished()).await;
+        caller.get("/after", &[AUTH]).await.expect("whole");
+        let seen = site.upstream.seen();
+        assert_eq!(seen.iter().filter(|seen| seen.target == "/a").count(), 1);
+    });
+}
+
 /// Requests under way at a time, and how often their link is cut.
 const CALLERS: usize = 40;
 const ROUNDS: usize = 5;
@@ -57,14 +90,16 @@
     });
 }
 
-/// Forwards one connection until it stalls. Both ends stay open.
-async fn forward(listener: TcpListener, to: SocketAddr, stalled: Rc<Notify>) {
+/// Forwards one connection until it stalls. Both ends stay open, and what is sent
+/// meanwhile is forwarded when it goes on.
+async fn forward(listener: TcpListener, to: SocketAddr, stalled: Rc<Notify>, goes_on: Rc<Notify>) {
     let (mut near, _) = listener.accept().await.expect("a connection");
     let mut far = TcpStream::connect(to).await.expect("a connection");
     tokio::select! {
-        _ = copy_bidirectional(&mut near, &mut far) => {}
-        () = stalled.notified() => std::future::pending().await,
+        _ = copy_bidirectional(&mut near, &mut far) => return,
+        () = stalled.notified() => goes_on.notified().await,
     }
+    let _ = copy_bidirectional(&mut near, &mut far).await;
 }
 
 /// Guards against a caller that waits until its deadline for an answer that was ready
@@ -84,7 +119,8 @@
         peer.ready = true;
         let link = std::mem::replace(&mut peer.link, listener.local_addr().expect("an address"));
         let stalled = Rc::new(Notify::new());
-        let forwarding = actix_rt::spawn(forward(listener, link, stalled.clone()));
+        let goes_on = Rc::new(Notify::new());
+        let forwarding = actix_rt::spawn(forward(listener, link, stalled.clone(), goes_on));
         site.edge.join(peer);
         let caller = site.caller();
         let request = caller.send("POST", "/a", &[AUTH], "charge");
