Write refusals of HEAD without a body

Cause: refusals were written without regard to the method.

Change: the response to HEAD ends with its head, also where the request is refused before it is dispatched. A link that is closed since another has replaced it is logged.

--- a/src/connection/door.rs
+++ b/src/connection/door.rs
@@ -397,23 +397,31 @@
 /// Fails the request that is being read. The connection closes after it.
 fn fail_request(shared: &ConnectionState, incoming: Option<Incoming>, code: Code) {
     shared.accepting.set(false);
-    match incoming.and_then(|incoming| incoming.body_sender) {
+    match incoming {
         // The request was already dispatched: the receiver of its body sees that
         // it is incomplete.
-        Some(body_sender) => drop(body_sender),
-        None => refuse(shared, code),
+        Some(Incoming {
+            body_sender: Some(body_sender),
+            ..
+        }) => drop(body_sender),
+        Some(incoming) => refuse(shared, code, is_head(&incoming.request)),
+        None => refuse(shared, code, false),
     }
 }
 
-fn refuse(shared: &ConnectionState, code: Code) {
+fn refuse(shared: &ConnectionState, code: Code, is_head: bool) {
     shared.carrier.count(Counter::Refused(code));
     shared.push(Exchange {
         reply: ReplySource::Refused(code),
         guard: None,
-        is_head: false,
+        is_head,
     });
 }
 
+fn is_head(request: &Request) -> bool {
+    request.method() == "HEAD"
+}
+
 /// Processes one decoded part of a request. Returns a code if the connection
 /// cannot continue.
 async fn process_message(
@@ -422,11 +430,17 @@
     message: h1::Message<Request>,
 ) -> Option<Code> {
     match message {
-        h1::Message::Item(request) => match receive_head(shared, request) {
-            Ok(Some(opened)) => *incoming = Some(opened),
-            Ok(None) => {}
-            Err(code) => return Some(code),
-        },
+        h1::Message::Item(request) => {
+            let is_head = is_head(&request);
+            match receive_head(shared, request) {
+                Ok(Some(opened)) => *incoming = Some(opened),
+                Ok(None) => {}
+                Err(code) => {
+                    shared.accepting.set(false);
+                    refuse(shared, code, is_head);
+                }
+            }
+        }
         h1::Message::Chunk(Some(bytes)) => {
             let body = incoming.as_mut()?;
             body.received += bytes.len() as u64;
@@ -630,7 +644,7 @@
         Reply::Refuse(code, wait) => {
             let mut output = BytesMut::with_capacity(512);
             let status = (carrier.interface.status)(code);
-            refusal::write(&mut output, code, status, wait, close);
+            refusal::write(&mut output, code, status, wait, exchange.is_head, close);
             write_bytes(writer, &output).await?;
         }
         Reply::Answer(head, inlet) => {
--- a/src/connection/refusal.rs
+++ b/src/connection/refusal.rs
@@ -67,12 +67,13 @@
 }
 
 /// Writes the response for a code to an output buffer, with `retry-after` in
-/// seconds with three decimals if a delay is given.
+/// seconds with three decimals if a delay is given. The response to `HEAD` has no body.
 pub(crate) fn write(
     output: &mut BytesMut,
     code: Code,
     status: u16,
     retry_after: Option<Span>,
+    is_head: bool,
     close: bool,
 ) {
     let body = serde_json::to_string(&Body::new(code, retry_after)).unwrap_or_default();
@@ -90,7 +91,9 @@
         line("connection", "close");
     }
     output.extend_from_slice(b"\r\n");
-    output.extend_from_slice(body.as_bytes());
+    if !is_head {
+        output.extend_from_slice(body.as_bytes());
+    }
 }
 
 /// Like [`response`], but closes the connection, for a request whose remaining
--- a/src/process/links.rs
+++ b/src/process/links.rs
@@ -209,12 +209,13 @@
     let handle = frame_handler(&carrier, &peer, true);
     let handler = {
         let (carrier, peer) = (carrier.clone(), peer.clone());
-        Rc::new(
-            move |incoming| match carrier.links.is_current_inbound(&peer, number) {
-                true => handle(incoming),
-                false => Err(Error::new(Fault::Frame, "the link was replaced")),
-            },
-        )
+        Rc::new(move |incoming| {
+            if !carrier.links.is_current_inbound(&peer, number) {
+                log::info!(peer:% = peer; "link closed: another one has replaced it");
+                return Err(Error::new(Fault::Frame, "the link was replaced"));
+            }
+            handle(incoming)
+        })
     };
     link::run(socket, queued, handler).await;
     drop(end);
--- a/tests/platform/path.rs
+++ b/tests/platform/path.rs
@@ -286,6 +286,32 @@
     });
 }
 
+/// Guards against a refusal of HEAD that carries a body, which would stand where the next
+/// answer is due.
+#[test]
+fn a_refusal_of_head_has_no_body() {
+    run(async {
+        let site = Site::start(|seen| whole(seen, "stock")).await;
+        let address = site.machines[0].node.addresses().callers;
+        for refused in ["/nowhere/x", "/unknown/x"] {
+            let mut stream = TcpStream::connect(address).await.expect("a connection");
+            let head = request(refused).replacen("GET", "HEAD", 1);
+            let all = format!("{head}{}", request("/view/x"));
+            stream.write_all(all.as_bytes()).await.expect("written");
+            let mut text = String::new();
+            while !text.contains("stock") {
+                let mut bytes = [0; 4096];
+                let count = stream.read(&mut bytes).await.expect("an answer");
+                assert!(count > 0, "closed after {text}");
+                text.push_str(&String::from_utf8_lossy(&bytes[..count]));
+            }
+            let (first, rest) = text.split_once("\r\n\r\n").expect("a head");
+            assert!(!first.starts_with("HTTP/1.1 200"), "{first}");
+            assert!(rest.starts_with("HTTP/1.1 200"), "{rest}");
+        }
+    });
+}
+
 /// A client hangs up while its request runs. The server's connection is closed,
 /// which is the only cancellation it knows.
 #[test]
