Read on from links that a stopping node closes

Cause: drops what arrives over a link that is not the peer's current one. A node that stops takes its links out of the table while their last frames are sent, and then counted each as replaced: the first frame of the peer, the credit for more of a body, closed it.

Change: a link counts as replaced only if another one has taken its place.

--- a/src/process/links.rs
+++ b/src/process/links.rs
@@ -107,12 +107,18 @@
         }
     }
 
-    /// Whether this is the inbound link of the peer, and no later one has replaced it.
+    /// Whether this is the inbound link of the peer. One that is being closed is not.
     fn is_current_inbound(&self, peer: &id::Instance, number: u64) -> bool {
         let links = self.inbound.borrow();
         links.get(peer).is_some_and(|link| link.number == number)
     }
 
+    /// Whether a later inbound link of the peer has replaced this one.
+    fn is_replaced_inbound(&self, peer: &id::Instance, number: u64) -> bool {
+        let links = self.inbound.borrow();
+        links.get(peer).is_some_and(|link| link.number != number)
+    }
+
     /// Closes idle outbound links. Queued frames are still sent, since a closed
     /// queue is drained first.
     pub(crate) fn prune(&self, carrier: &Carrier, now: Time) {
@@ -210,7 +216,7 @@
     let handler = {
         let (carrier, peer) = (carrier.clone(), peer.clone());
         Rc::new(move |incoming| {
-            if !carrier.links.is_current_inbound(&peer, number) {
+            if carrier.links.is_replaced_inbound(&peer, number) {
                 log::info!(peer:% = peer; "link closed: another one has replaced it");
                 return Err(Error::new(Fault::Frame, "the link was replaced"));
             }
