Move the stand-in of the platform's store into platform/

The soak of real processes needs the same stand-in as the tests. The stand-in upstream can start at an address again after it has ended, work for a while before it answers, and answer before it has read the body. No behaviour of the tests changes.

--- a/src/standin/upstream.rs
+++ b/src/standin/upstream.rs
@@ -5,7 +5,10 @@
         Cell,
         RefCell, //
     },
-    net::SocketAddr,
+    net::{
+        Ipv4Addr,
+        SocketAddr, //
+    },
     rc::Rc, //
 };
 
@@ -21,6 +24,7 @@
     Bytes,
     BytesMut, //
 };
+use futures_util::future::LocalBoxFuture;
 use tokio::{
     io::{
         AsyncReadExt,
@@ -52,11 +56,13 @@
     pub headers: Vec<(String, String)>,
     /// Its body, as far as it came.
     pub body: Bytes,
+    /// Whether its body has come whole.
+    pub whole: bool,
 }
 
 impl Seen {
     /// Whether its head announces no body.
-    fn is_bodiless(&self) -> bool {
+    pub fn is_bodiless(&self) -> bool {
         self.header("transfer-encoding").is_none()
             && self
                 .header("content-length")
@@ -84,8 +90,16 @@
     Raw(Bytes),
     /// Waits to be told, then goes on with another act.
     Hold(Rc<Notify>, Box<Act>),
+    /// Does some work, then goes on with the act that it returns.
+    Work(Rc<dyn Fn() -> LocalBoxFuture<'static, Act>>),
+    /// Does another act before it reads the body, and then reads on.
+    Ahead(Box<Act>),
     /// Answers at once without reading the body.
     Early(u16),
+    /// Closes the connection, by a reset if so.
+    Close(bool),
+    /// Never answers, nor reads on.
+    Silence,
     /// Ends the whole upstream, with all that it runs.
     Exit,
     /// Writes the first bytes, then the second ones without end, until the connection is
@@ -146,7 +160,19 @@
     ///
     /// When there is none.
     pub async fn start(script: impl Fn(&Seen) -> Act + 'static) -> Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        Self::start_at(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), script).await
+    }
+
+    /// Starts at an address.
+    ///
+    /// # Errors
+    ///
+    /// When it cannot be listened on.
+    pub async fn start_at(
+        address: SocketAddr,
+        script: impl Fn(&Seen) -> Act + 'static,
+    ) -> Result<Self> {
+        let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let state = Rc::new(State {
             script: Rc::new(script),
@@ -172,6 +198,12 @@
         self.address
     }
 
+    /// Ends, as [`Act::Exit`] does.
+    pub fn end(&self) {
+        self.state.ended.set(true);
+        self.state.changed.notify_waiters();
+    }
+
     /// Forgets what it sees from now on, for long runs.
     pub fn forget(&self) {
         self.state.keep.set(false);
@@ -250,12 +282,21 @@
             Act::Before(bytes, _) if !seen.is_bodiless() => {
                 let _ = stream.write_all(&bytes).await;
             }
+            Act::Ahead(act) => {
+                let is_open = perform(&mut stream, &mut codec, &mut output, *act, state).await;
+                if !is_open || body(&mut stream, &mut codec, &mut input).await.is_none() {
+                    return;
+                }
+                remember(state, seen);
+                continue;
+            }
             _ => {}
         }
         let Some(body) = body(&mut stream, &mut codec, &mut input).await else {
             return;
         };
         seen.body = body;
+        seen.whole = true;
         let act = (state.script)(&seen);
         remember(state, seen);
         if !perform(&mut stream, &mut codec, &mut output, act, state).await {
@@ -281,6 +322,7 @@
             .map(|(name, value)| (name.as_str().to_owned(), text(value.as_bytes())))
             .collect(),
         body: Bytes::new(),
+        whole: false,
     }
 }
 
@@ -325,6 +367,12 @@
     }
 }
 
+/// Returns when the peer has closed its connection, and so given up, or sends more.
+async fn closed(stream: &TcpStream) {
+    let mut probe = [0; 1];
+    let _ = stream.peek(&mut probe).await;
+}
+
 /// Does what the script says, and tells whether the connection goes on.
 async fn perform(
     stream: &mut TcpStream,
@@ -340,11 +388,15 @@
                 *then
             }
             Act::Hold(told, then) => {
-                // A peer that closes its connection has given up.
-                let mut probe = [0; 1];
                 tokio::select! {
                     () = told.notified() => *then,
-                    _ = stream.peek(&mut probe) => return false,
+                    () = closed(stream) => return false,
+                }
+            }
+            Act::Work(work) => {
+                tokio::select! {
+                    act = work() => act,
+                    () = closed(stream) => return false,
                 }
             }
             _ => break,
@@ -377,6 +429,16 @@
             let _ = stream.shutdown().await;
             false
         }
+        Act::Close(reset) => {
+            if reset {
+                let _ = stream.set_zero_linger();
+            }
+            false
+        }
+        Act::Silence => {
+            std::future::pending::<()>().await;
+            false
+        }
         Act::Exit => {
             state.ended.set(true);
             state.changed.notify_waiters();
@@ -391,7 +453,7 @@
             }
             false
         }
-        Act::Before(..) | Act::Hold(..) | Act::Early(_) => false,
+        Act::Before(..) | Act::Hold(..) | Act::Early(_) | Act::Work(_) | Act::Ahead(_) => false,
     }
 }
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -14,8 +14,6 @@
 mod grace;
 #[path = "platform/heartbeat.rs"]
 mod heartbeat;
-#[path = "platform/kv.rs"]
-mod kv;
 #[path = "platform/late_copy.rs"]
 mod late_copy;
 #[path = "platform/names.rs"]
--- a/tests/platform/path.rs
+++ b/tests/platform/path.rs
@@ -5,9 +5,12 @@
     rc::Rc, //
 };
 
-use bluebellswitch::standin::{
-    caller::Caller,
-    upstream::Act, //
+use bluebellswitch::{
+    platform::standin::Mood,
+    standin::{
+        caller::Caller,
+        upstream::Act, //
+    },
 };
 use serde_json::json;
 use tokio::{
@@ -18,21 +21,18 @@
     net::TcpStream,
 };
 
-use crate::{
-    kv::Mood,
-    site::{
-        CONNECTIONS,
-        HOST,
-        ID,
-        KEY,
-        Site,
-        configuration,
-        pause,
-        run,
-        signed,
-        until,
-        whole, //
-    },
+use crate::site::{
+    CONNECTIONS,
+    HOST,
+    ID,
+    KEY,
+    Site,
+    configuration,
+    pause,
+    run,
+    signed,
+    until,
+    whole, //
 };
 
 /// A request as a client writes it.
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -13,6 +13,7 @@
     node::Bounds,
     platform::{
         interface,
+        standin::Store,
         store::Client, //
     },
     server::Server,
@@ -34,8 +35,6 @@
     json, //
 };
 
-use crate::kv::Store;
-
 pub const KEY: (&str, &str) = ("bluebellswitch-credential", "open-sesame");
 pub const ID: (&str, &str) = ("bluebellswitch-request-id", "9c41d07b");
 
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -9,7 +9,13 @@
         Lease,
         Revision, //
     },
-    platform::store::Client,
+    platform::{
+        standin::{
+            Mood,
+            Store, //
+        },
+        store::Client, //
+    },
     store::{
         Answer,
         Call,
@@ -17,13 +23,7 @@
     },
 };
 
-use crate::{
-    kv::{
-        Mood,
-        Store, //
-    },
-    site::run,
-};
+use crate::site::run;
 
 fn put(key: &str, value: &str, lease: Option<Lease>) -> Call {
     Call::Put {
