Add a soak of real processes

The soak runs nodes as processes on loopback addresses of their own, with the settings that deploy/node.jsonc renders, and plays store, servers, clients, and relays on all links. Faults are drawn by a seed, come in series and overlap. What clients and servers saw is judged by ten rules.

--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -96,6 +96,7 @@
         measure::parser(),
         platform::parser(),
         crate::platform::sidecar::parser(),
+        crate::platform::soak::parser(),
     ]
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 mod connection;
 mod process;
 mod request;
+mod soak;
 mod version;
 
 pub mod clock;
--- /dev/null
+++ b/src/soak/judge.rs
@@ -0,0 +1,299 @@
+//! Judges a soak by what clients and servers saw.
+//!
+//! Rules that bound a time hold only for machines that were [calm](is_calm): undisturbed,
+//! and for a while before. The rules on single requests hold always.
+
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+
+use super::{
+    World,
+    config::{
+        LIMIT_BURST,
+        LIMIT_RATE,
+        LIMITED_TEAM,
+        ROUTE_TIMEOUT,
+        SERVICES, //
+    },
+    record::{
+        Got,
+        Record,
+        Request,
+        Rule, //
+    },
+};
+use crate::clock::{
+    Span,
+    Time, //
+};
+
+/// The bounds that the rules name.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Bounds {
+    pub(crate) drain: Span,
+    pub(crate) grace: Span,
+    pub(crate) apply: Span,
+    pub(crate) revoke: Span,
+    pub(crate) retry_ratio: f64,
+    pub(crate) retry_slack: f64,
+    pub(crate) retry_window: Span,
+    pub(crate) quota_window: Span,
+    pub(crate) quota_overshoot: f64,
+    pub(crate) quota_slack: f64,
+}
+
+/// How long after its timeout a request may be answered.
+const LATENESS: Span = Span::from_ms(500);
+/// Requests of kept connections that may be lost.
+const MAX_LOST: usize = 3;
+/// From how many requests on lateness is judged.
+const MIN_LATE: usize = 8;
+/// Time after a change of the configuration within which it may be in force or not.
+const BEFORE_CONTACT: Span = Span::from_ms(3000);
+
+/// Whether one of the spans of time lies within another, or shortly before.
+pub(super) fn overlaps(spans: &[(Time, Time)], from: Time, to: Time) -> bool {
+    let touches = |(start, end): &(Time, Time)| *start <= to && from <= *end + BEFORE_CONTACT;
+    spans.iter().any(touches)
+}
+
+/// Returns the cases of each broken rule.
+pub(super) fn findings(world: &World, record: &Record) -> BTreeMap<Rule, Vec<String>> {
+    let mut findings: BTreeMap<Rule, Vec<String>> = BTreeMap::new();
+    let mut add = |rule, case| findings.entry(rule).or_default().push(case);
+    for (rule, case) in &record.broken {
+        add(*rule, case.clone());
+    }
+    let judge = Judge { world, record };
+    for (id, request) in &record.requests {
+        for (rule, case) in judge.request(request) {
+            add(rule, format!("{id} {case}"));
+        }
+    }
+    for (rule, case) in judge.all() {
+        add(rule, case);
+    }
+    findings
+}
+
+struct Judge<'a> {
+    world: &'a World,
+    record: &'a Record,
+}
+
+impl Judge<'_> {
+    fn is_calm(&self, machine: usize, from: Time, to: Time) -> bool {
+        self.world.machines[machine].is_calm(from, to) && !self.record.is_stalled(from, to)
+    }
+
+    /// Judges one request by itself.
+    fn request(&self, request: &Request) -> Vec<(Rule, String)> {
+        let mut broken = Vec::new();
+        let runs = request.runs().count();
+        let got = request.got.map(|(_, got)| got);
+        let places = || {
+            let runs = request.runs().map(|run| run.machine.to_string());
+            runs.collect::<Vec<_>>().join(", ")
+        };
+        if !request.route.is_idempotent() {
+            if runs > 1 {
+                broken.push((Rule::Twice, format!("ran at {}, got {got:?}", places())));
+            }
+            if runs > 0 && got.is_some_and(Got::is_promise) {
+                broken.push((Rule::Refused, format!("ran at {}, got {got:?}", places())));
+            }
+        }
+        broken.extend(self.place(request));
+        broken.extend(self.key(request));
+        broken
+    }
+
+    /// Judges where a request ran.
+    fn place(&self, request: &Request) -> Option<(Rule, String)> {
+        let configuration = self.world.configuration();
+        for run in request.runs() {
+            let all = configuration.services(request.route, Time::ZERO, run.at, Span::ZERO);
+            if !all.contains(&run.service) {
+                return Some((Rule::Route, format!("ran at {}", run.service)));
+            }
+            let lag = self.world.dialect.bounds().apply;
+            let allowed = configuration.services(request.route, request.sent, run.at, lag);
+            if !allowed.contains(&run.service)
+                && self.is_calm(request.machine, request.sent, run.at)
+            {
+                return Some((
+                    Rule::Config,
+                    format!("ran at {} by an old version", run.service),
+                ));
+            }
+        }
+        None
+    }
+
+    /// Judges the key of a request that ran.
+    fn key(&self, request: &Request) -> Option<(Rule, String)> {
+        let configuration = self.world.configuration();
+        request.runs().next()?;
+        let text = request.key.as_deref()?;
+        let Some(key) = configuration.key(text) else {
+            return Some((Rule::Route, "ran with an unknown key".to_owned()));
+        };
+        let removed = key.removed?;
+        let late = request.sent.since(removed);
+        let is_late = late > self.world.dialect.bounds().revoke;
+        is_late.then(|| {
+            (
+                Rule::Config,
+                format!("ran {late} after its key was withdrawn"),
+            )
+        })
+    }
+
+    /// Judges all requests together.
+    fn all(&self) -> Vec<(Rule, String)> {
+        let mut broken = Vec::new();
+        broken.extend(self.lost());
+        broken.extend(self.late());
+        broken.extend(self.quota());
+        broken.extend(SERVICES.iter().filter_map(|service| self.budget(service)));
+        broken
+    }
+
+    /// Requests of kept connections that a node closed while a sound server had them.
+    fn lost(&self) -> Vec<(Rule, String)> {
+        let is_lost = |request: &&(&String, &Request)| {
+            let (_, request) = request;
+            let Some((at, Got::Closed)) = request.got else {
+                return false;
+            };
+            let is_sound = |machine: usize| {
+                let server = &self.world.machines[machine].server;
+                server.is_sound(request.sent, at)
+            };
+            request.kept
+                && request.runs().any(|run| is_sound(run.machine))
+                && self.is_calm(request.machine, request.sent, at)
+        };
+        let requests: Vec<_> = self.record.requests.iter().collect();
+        let lost: Vec<_> = requests.iter().filter(is_lost).collect();
+        match lost.len() > MAX_LOST {
+            true => lost
+                .iter()
+                .map(|(id, _)| (Rule::Lost, (*id).clone()))
+                .collect(),
+            false => Vec::new(),
+        }
+    }
+
+    /// Requests that outlast the timeout of their route.
+    fn late(&self) -> Option<(Rule, String)> {
+        let limit = ROUTE_TIMEOUT + LATENESS;
+        let mut outlasting = 0;
+        let mut late = Vec::new();
+        for (id, request) in &self.record.requests {
+            let Some((at, got)) = request.got else {
+                continue;
+            };
+            let took = at.since(request.sent);
+            let is_answered = matches!(got, Got::Status(_));
+            if took < ROUTE_TIMEOUT
+                || !(is_answered || got == Got::Nothing)
+                || !self.is_calm(request.machine, request.sent, at)
+            {
+                continue;
+            }
+            outlasting += 1;
+            if took > limit {
+                late.push(id.as_str());
+            }
+        }
+        let is_broken = late.len() >= MIN_LATE && 2 * late.len() > outlasting;
+        is_broken.then(|| {
+            let case = format!("{} of {outlasting} answered late: {}", late.len(), late[0]);
+            (Rule::Config, case)
+        })
+    }
+
+    /// What the limited team ran in any window.
+    fn quota(&self) -> Option<(Rule, String)> {
+        let bounds = self.world.dialect.bounds();
+        let configuration = self.world.configuration();
+        let is_limited = |request: &&Request| {
+            let key = request
+                .key
+                .as_deref()
+                .and_then(|key| configuration.key(key));
+            key.is_some_and(|key| key.team == LIMITED_TEAM)
+        };
+        let limited = self.record.requests.values().filter(is_limited);
+        let mut runs: Vec<_> = limited
+            .flat_map(|request| request.runs().map(|run| (run.at, request.sent)))
+            .collect();
+        runs.sort();
+        let window = bounds.quota_window;
+        let allowed = f64::from(LIMIT_RATE) * window.as_secs_f64() + f64::from(LIMIT_BURST);
+        let allowed = allowed * (1.0 + bounds.quota_overshoot) + bounds.quota_slack;
+        for (first, (from, _)) in runs.iter().enumerate() {
+            let within = runs[first..]
+                .iter()
+                .take_while(|(at, _)| at.since(*from) < window);
+            let count = within.filter(|(_, sent)| sent >= from).count();
+            if count as f64 > allowed {
+                let case =
+                    format!("{count} of the limited team within {window}, {allowed} allowed");
+                return Some((Rule::Quota, case));
+            }
+        }
+        None
+    }
+
+    /// Repeats at a service, against the requests for it.
+    fn budget(&self, service: &str) -> Option<(Rule, String)> {
+        let bounds = self.world.dialect.bounds();
+        let window = bounds.retry_window;
+        let mut sent = Vec::new();
+        let mut repeats = Vec::new();
+        for request in self.record.requests.values() {
+            let arrivals = request.arrivals.iter();
+            let arrivals: Vec<_> = arrivals
+                .filter(|arrival| arrival.service == service)
+                .collect();
+            let is_for_it = match request.route.service {
+                Some(other) => other == service,
+                None => !arrivals.is_empty(),
+            };
+            if is_for_it {
+                sent.push(request.sent);
+            }
+            repeats.extend(arrivals.iter().skip(1).map(|arrival| arrival.at));
+        }
+        repeats.sort();
+        let in_window = |from: u64| {
+            let window = window.as_ms();
+            let is_in = |at: &&Time| (from..from + window).contains(&at.as_ms());
+            sent.iter().filter(is_in).count()
+        };
+        let starts: BTreeSet<_> = repeats.iter().map(|at| at.as_ms()).collect();
+        for from in starts {
+            let length = window.as_ms();
+            let count = repeats
+                .iter()
+                .filter(|at| (from..from + length).contains(&at.as_ms()))
+                .count();
+            let requests = [0, length / 2, length]
+                .map(|back| in_window(from.saturating_sub(back)))
+                .into_iter()
+                .max()
+                .unwrap_or(0);
+            let allowed = bounds.retry_ratio * requests as f64 + bounds.retry_slack;
+            if count as f64 > allowed {
+                let case =
+                    format!("{count} repeats at {service} within {window}, {allowed} allowed");
+                return Some((Rule::Budget, case));
+            }
+        }
+        None
+    }
+}
--- /dev/null
+++ b/src/soak/plan.rs
@@ -0,0 +1,367 @@
+//! The faults of a soak, drawn by its seed. They come in series that overlap.
+
+use std::{
+    fmt,
+    rc::Rc,
+    str::FromStr, //
+};
+
+use rand::{
+    RngExt,
+    SeedableRng, //
+};
+use rand_chacha::ChaCha8Rng;
+use rustix::process::Signal;
+
+use super::{
+    COOL_DOWN, Mood, WARM_UP, World,
+    config::{
+        SERVICES,
+        TEAMS, //
+    },
+    machine::{
+        Machine,
+        State, //
+    },
+    pause,
+    record::Rule,
+    relay::{
+        Mode,
+        Relay, //
+    },
+    server::{
+        self,
+        Faults,
+        GARBLES, //
+    },
+};
+use crate::{
+    clock::{
+        Clock,
+        Span,
+        Time, //
+    },
+    error::{
+        Code,
+        Error,
+        Result, //
+    },
+};
+
+macro_rules! faults {
+    ($($(#[$doc:meta])* $name:ident = $text:literal;)*) => {
+        /// A kind of fault.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+        pub(crate) enum Fault {
+            $($(#[$doc])* $name,)*
+        }
+
+        impl Fault {
+            const ALL: &[Self] = &[$(Self::$name,)*];
+
+            const fn name(self) -> &'static str {
+                match self { $(Self::$name => $text,)* }
+            }
+        }
+    };
+}
+
+faults! {
+    /// A server rejects a share of its requests.
+    Shed = "shed";
+    /// The same, and it sends some answers twice.
+    ShedAndCopy = "shed-and-copy";
+    /// A server spoils answers.
+    Garble = "garble";
+    /// A server runs requests and answers with a status that promises the opposite.
+    Unproven = "unproven";
+    /// A server loses answers.
+    Lose = "lose";
+    /// A server accepts requests and does not answer.
+    Silent = "silent";
+    /// A server takes longer.
+    Slow = "slow";
+    /// A server ends, and starts again under its id or another one.
+    Crash = "crash";
+    /// A server ends, and one of another service takes its address for a while.
+    Reuse = "reuse";
+    /// A server leaves, and another one takes its place.
+    Leave = "leave";
+    /// A node's process stands still.
+    Stop = "stop";
+    /// Two nodes' processes stand still, the second one from the middle of the first on.
+    StopAcross = "stop-across";
+    /// A node's process is killed.
+    Kill = "kill";
+    /// A node's process is told to end.
+    Terminate = "terminate";
+    /// A node's settings file changes, with a signal.
+    HangUp = "hang-up";
+    /// Links to a node are delayed, held back or reset.
+    Link = "link";
+    /// A node's connections to the store are delayed, held back or reset.
+    StoreLink = "store-link";
+    /// The store refuses, is silent, or writes late.
+    Store = "store";
+    /// The operator moves a route or exchanges a key.
+    Configure = "configure";
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(self.name())
+    }
+}
+
+impl FromStr for Fault {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let found = Self::ALL.iter().find(|fault| fault.name() == text);
+        found.copied().ok_or_else(|| {
+            let all: Vec<_> = Self::ALL.iter().map(|fault| fault.name()).collect();
+            let reason = format!("`{text}` is no fault: use {}", all.join(", "));
+            Error::new(Code::Usage, reason)
+        })
+    }
+}
+
+/// Mean time between two faults at one node.
+const FAULT_INTERVAL: Span = Span::from_secs(6);
+/// How long faults last, in milliseconds.
+const SHORT_MS: std::ops::Range<u64> = 20..1500;
+const LONG_MS: std::ops::Range<u64> = 300..5000;
+
+/// One fault as it was drawn.
+struct Event {
+    after: Span,
+    fault: Fault,
+    machine: usize,
+    rng: ChaCha8Rng,
+}
+
+/// Draws the faults of a soak.
+fn draw(world: &World) -> Vec<Event> {
+    let options = &world.options;
+    let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
+    let kinds = match options.only.is_empty() {
+        true => Fault::ALL,
+        false => &options.only,
+    };
+    let interval = FAULT_INTERVAL.as_ms() / options.nodes as u64;
+    let length = options.length.as_ms();
+    let end = length.saturating_sub((WARM_UP + COOL_DOWN).as_ms());
+    let mut events = Vec::new();
+    let mut at = 0;
+    while at < end {
+        let after = rng.random_range(0..=2 * interval);
+        events.push(Event {
+            after: Span::from_ms(after),
+            fault: kinds[rng.random_range(0..kinds.len())],
+            machine: rng.random_range(0..options.nodes),
+            rng: ChaCha8Rng::seed_from_u64(rng.random()),
+        });
+        at += after;
+    }
+    events
+}
+
+/// Plays the faults.
+pub(super) async fn play(world: &Rc<World>) {
+    for event in draw(world) {
+        pause(event.after).await;
+        let faults = &mut world.record().faults;
+        *faults.entry(event.fault.to_string()).or_default() += 1;
+        actix_rt::spawn(strike(world.clone(), event));
+    }
+}
+
+async fn strike(world: Rc<World>, event: Event) {
+    let Event {
+        fault,
+        machine: number,
+        mut rng,
+        ..
+    } = event;
+    let rng = &mut rng;
+    let machine = &world.machines[number];
+    let short = Span::from_ms(rng.random_range(SHORT_MS));
+    let long = Span::from_ms(rng.random_range(LONG_MS));
+    match fault {
+        Fault::Shed => {
+            let (shed, early) = (rng.random_range(0.1..0.9), rng.random());
+            spoil(machine, long, |faults| {
+                (faults.shed, faults.early) = (shed, early);
+            })
+            .await;
+        }
+        Fault::ShedAndCopy => {
+            let (shed, copy) = (rng.random_range(0.1..0.5), rng.random_range(0.02..0.15));
+            spoil(machine, long, |faults| {
+                (faults.shed, faults.garble) = (shed, copy);
+                faults.garbles = vec![server::Garble::Late];
+            })
+            .await;
+        }
+        Fault::Garble => {
+            let share = rng.random_range(0.02..0.3);
+            let kind = GARBLES[rng.random_range(0..GARBLES.len())];
+            spoil(machine, long, |faults| {
+                faults.garble = share;
+                faults.garbles.push(kind);
+            })
+            .await;
+        }
+        Fault::Unproven => {
+            let share = rng.random_range(0.02..0.3);
+            spoil(machine, long, |faults| {
+                faults.garble = share;
+                faults.garbles.push(server::Garble::Unproven);
+            })
+            .await;
+        }
+        Fault::Lose => {
+            let (share, reset) = (rng.random_range(0.02..0.3), rng.random());
+            spoil(machine, long, |faults| {
+                (faults.lose, faults.reset) = (share, reset);
+            })
+            .await;
+        }
+        Fault::Silent => spoil(machine, short, |faults| faults.silent = true).await,
+        Fault::Slow => {
+            let factor = rng.random_range(2..30);
+            spoil(machine, long, |faults| faults.slow = factor).await;
+        }
+        Fault::Crash => {
+            machine.server.ail(long);
+            machine.server.crash();
+            pause(short).await;
+            let started = match rng.random() {
+                true => machine.server.start_again(&world, number).await,
+                false => machine.server.start(&world, number).await,
+            };
+            report(&world, number, started);
+        }
+        Fault::Reuse => {
+            let other = SERVICES[(number + 1) % SERVICES.len()];
+            machine.server.ail(long + long);
+            machine.server.crash();
+            pause(Span::from_ms(50)).await;
+            report(
+                &world,
+                number,
+                machine.server.lend(&world, number, other).await,
+            );
+            pause(long).await;
+            machine.server.crash();
+            report(&world, number, machine.server.start(&world, number).await);
+        }
+        Fault::Leave => leave(&world, number, rng.random()).await,
+        Fault::Stop => stand_still(machine, long).await,
+        Fault::StopAcross => {
+            let other = &world.machines[rng.random_range(0..world.machines.len())];
+            let late = async {
+                pause(long.scale(0.5)).await;
+                stand_still(other, long).await;
+            };
+            tokio::join!(stand_still(machine, long), late);
+        }
+        Fault::Kill => machine.kill(short),
+        Fault::Terminate => machine.terminate(world.dialect.bounds().grace, short),
+        Fault::HangUp => report(&world, number, machine.hang_up()),
+        Fault::Link => {
+            machine.disrupt(long);
+            harm(&machine.link_relay, draw_mode(rng), long).await;
+        }
+        Fault::StoreLink => {
+            machine.disrupt(long);
+            harm(&machine.store_relay, draw_mode(rng), long).await;
+        }
+        Fault::Store => {
+            for machine in &world.machines {
+                machine.disrupt(long);
+            }
+            world.store.set(match rng.random_range(0..4) {
+                0 => Mood::Refuses(503),
+                1 => Mood::Refuses(429),
+                2 => Mood::Silent,
+                _ => Mood::Late(short),
+            });
+            pause(long).await;
+            world.store.set(Mood::Well);
+        }
+        Fault::Configure => {
+            let now = Clock.now();
+            let team = TEAMS[rng.random_range(0..TEAMS.len())];
+            match rng.random() {
+                true => world.configuration.borrow_mut().move_route(now),
+                false => world.configuration.borrow_mut().rotate_key(now, team),
+            }
+            world.publish();
+        }
+    }
+}
+
+/// Spoils a server for some time.
+async fn spoil(machine: &Machine, span: Span, change: impl FnOnce(&mut Faults)) {
+    machine.server.ail(span + Span::from_secs(1));
+    change(&mut machine.server.faults.borrow_mut());
+    pause(span).await;
+    machine.server.faults.take();
+}
+
+async fn stand_still(machine: &Machine, span: Span) {
+    machine.disrupt(span);
+    machine.signal(Signal::STOP);
+    pause(span).await;
+    machine.signal(Signal::CONT);
+}
+
+async fn harm(relay: &Relay, mode: Mode, span: Span) {
+    relay.set(mode);
+    pause(span).await;
+    relay.set(Mode::Pass);
+}
+
+fn draw_mode(rng: &mut ChaCha8Rng) -> Mode {
+    match rng.random_range(0..5) {
+        0 => Mode::Delay(Span::from_ms(rng.random_range(5..300))),
+        1 => Mode::Silent,
+        2 => Mode::SilentForward,
+        3 => Mode::SilentBack,
+        _ => Mode::Reset,
+    }
+}
+
+/// Lets a server leave, with an announcement beforehand or without.
+async fn leave(world: &Rc<World>, number: usize, announced: bool) {
+    let server = &world.machines[number].server;
+    let bounds = world.dialect.bounds();
+    match announced {
+        true => server.leave(),
+        false => {
+            if server::say(world, number, State::Gone).await {
+                server.drain_acknowledged.set(Some(Clock.now()));
+            }
+        }
+    }
+    let until = Clock.now() + bounds.drain + bounds.drain;
+    while server.drain_acknowledged.get().is_none() && Clock.now() < until {
+        pause(Span::from_ms(20)).await;
+    }
+    let left = bounds.drain + Span::from_secs(1);
+    server.ail(left + Span::from_secs(2));
+    pause(left).await;
+    server::say(world, number, State::Gone).await;
+    server.crash();
+    pause(Span::from_ms(200)).await;
+    report(world, number, server.start(world, number).await);
+}
+
+/// Records a fault that could not be played.
+fn report(world: &World, number: usize, played: Result<()>) {
+    if let Err(error) = played {
+        let case = format!("machine {number}: {error}, at {}", Time::as_ms(Clock.now()));
+        world.record().break_rule(Rule::Ended, case);
+    }
+}
