Failing test: a status that promises what the upstream has not said

An upstream runs an order and answers 408, 429 or 503 without the header that says that it has not executed the request. The node relays the status, which on the platform promises that the request has not run and never will.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -26,3 +26,5 @@
 mod store;
 #[path = "platform/suspect.rs"]
 mod suspect;
+#[path = "platform/unproven.rs"]
+mod unproven;
