Refuse calls by proof that no attempt has run

A refusal said "not run" if its code did, wherever the code was raised, unless some path had marked the call before. A path that forgets the mark, or a peer's refusal with a code that no inbound proxy may use, told the caller that a request had not run which may have.

A call is now exposed from the moment that an attempt is sent. Only a NotRun for this attempt ends that: no link was opened, the inbound proxy refuses it with a code for what it has not started, or has revoked it. Refusals are made from the exposure.

The property test, over random orders of events, found two orders, while the marks stood as before, in which they were wrong, both with an inbound proxy that contradicts itself: a refusal after an answer over a lost link was believed, and an order was sent again after it. It also fails if any code that means "not run" is accepted as a proof. It does not fail without the exposure's begin, as today's paths all mark their calls; the three tests of Exposure do.

--- a/src/process/carrier.rs
+++ b/src/process/carrier.rs
@@ -37,7 +37,6 @@
         Span,
         Time, //
     },
-    code::Code,
     connection::{
         body::{
             Inlet,
@@ -77,6 +76,7 @@
         Event,
         LogEvent, //
     },
+    outcome::Refusal,
     pending::{
         Guard,
         Pending,
@@ -460,7 +460,7 @@
                 }
             }
             Action::Deliver(call, request) => self.deliver(call, request),
-            Action::Refuse(call, code, wait) => self.refuse(call, code, wait),
+            Action::Refuse(call, refusal) => self.refuse(call, refusal),
             Action::Frame(peer, frame) => {
                 match &frame {
                     Frame::Refuse { request, code, .. } => {
@@ -552,14 +552,15 @@
     }
 
     /// Refuses a call. An answer that has already begun is cut off.
-    pub(crate) fn refuse(&self, call: id::Call, code: Code, wait: Option<Span>) {
+    pub(crate) fn refuse(&self, call: id::Call, refusal: Refusal) {
         let mut calls = self.calls.borrow_mut();
         let Some(pending) = calls.get_mut(&call) else {
             return;
         };
         if pending.reply.is_some() {
-            self.record_refused(pending, call, code, wait);
-            pending.send_reply(Clock.now(), Reply::Refuse(code, wait));
+            self.record_refused(pending, call, refusal);
+            let reply = Reply::Refuse(refusal.code(), refusal.wait());
+            pending.send_reply(Clock.now(), reply);
         } else if let Some(request) = pending.delivered
             && let Some(attempt) = self.attempts.borrow().get(&request)
         {
--- a/src/process/event.rs
+++ b/src/process/event.rs
@@ -21,7 +21,11 @@
     id,
     inbound::End,
     metric::ConnectionEnd,
-    outcome::Report,
+    outcome::{
+        Evidence,
+        Refusal,
+        Report, //
+    },
     unit::Rate, //
 };
 
@@ -72,9 +76,7 @@
 pub(crate) enum Event<'a> {
     /// The caller was answered with one of this system's own codes.
     Refused {
-        code: Code,
-        /// Time after which the caller may retry.
-        wait: Option<Span>,
+        refusal: Refusal,
         path: &'a str,
         waited: Span,
         attempts: u8,
@@ -261,17 +263,18 @@
     fn write(&self, id: &str) {
         match self {
             Self::Refused {
-                code,
-                wait,
+                refusal,
                 path,
                 waited,
                 attempts,
                 config,
             } => {
+                let code = refusal.code();
                 log::info!(
-                    id = id, code = *code as u16, reason = code.name(),
-                    may_have_run = code.verdict() == Verdict::Unknown, path = path,
-                    come_back_ms = wait.map_or(-1, |wait| wait.as_ms() as i64),
+                    id = id, code = code as u16, reason = code.name(),
+                    may_have_run = code.verdict() == Verdict::Unknown,
+                    evidence = refusal.evidence().map_or("none", Evidence::name), path = path,
+                    come_back_ms = refusal.wait().map_or(-1, |wait| wait.as_ms() as i64),
                     waited_ms = waited.as_ms(), attempts = attempts, version = config.version.0,
                     version_age_ms = age_ms(*config);
                     "refused"
--- a/src/process/metric.rs
+++ b/src/process/metric.rs
@@ -123,6 +123,9 @@
     Unauthenticated,
     /// Datagrams dropped because of a wrong authentication tag or malformed content.
     DatagramDropped,
+    /// Refusals that would have said that a request was not run while the outcome of its
+    /// attempt was not known.
+    OutcomeUnproven,
     /// Connections to the upstream that were opened for a request, by reason.
     UpstreamConnected(Opened),
     /// Responses of the upstream that belonged to an earlier request.
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -52,7 +52,10 @@
         Counts,
         Kind, //
     },
-    outcome::Report,
+    outcome::{
+        Refusal,
+        Report, //
+    },
     policy::{
         Policy,
         Scheduling, //
@@ -283,8 +286,8 @@
     },
     /// Relay the answer to this attempt to the caller.
     Deliver(id::Call, id::Request),
-    /// Refuse the call with this code, and this delay before a retry.
-    Refuse(id::Call, Code, Option<Span>),
+    /// Refuse the call.
+    Refuse(id::Call, Refusal),
     /// Send a frame; `peer` may be this node itself.
     Frame(id::Instance, Frame),
     /// Send an attempt to the upstream.
@@ -597,7 +600,7 @@
         };
         if let Some(code) = leaving_refusal.or(refusal) {
             self.counts.add(Counter::Refused(code));
-            out.push(Action::Refuse(call.call, code, code.retry_after()));
+            out.push(Action::Refuse(call.call, Refusal::unsent(code)));
             return;
         }
         let origin = match call.origin {
@@ -835,9 +838,7 @@
             },
             ingress::Action::Hint(peer, hint) => Self::Frame(peer, Frame::Hint(hint)),
             ingress::Action::Deliver(call, request) => Self::Deliver(call, request),
-            ingress::Action::Refuse(call, code, retry_after) => {
-                Self::Refuse(call, code, retry_after)
-            }
+            ingress::Action::Refuse(call, refusal) => Self::Refuse(call, refusal),
             ingress::Action::Cancel(peer, request) => Self::Frame(peer, Frame::Cancel { request }),
             ingress::Action::Revoke {
                 peer,
--- a/src/process/recorder.rs
+++ b/src/process/recorder.rs
@@ -25,7 +25,10 @@
         ConnectionEnd,
         Counter, //
     },
-    outcome::Report,
+    outcome::{
+        Refusal,
+        Report, //
+    },
     pending::{
         Pending,
         Position, //
@@ -115,17 +118,10 @@
         self.recorder.record(now, name, &event);
     }
 
-    pub(crate) fn record_refused(
-        &self,
-        pending: &Pending,
-        call: id::Call,
-        code: Code,
-        wait: Option<Span>,
-    ) {
+    pub(crate) fn record_refused(&self, pending: &Pending, call: id::Call, refusal: Refusal) {
         let now = Clock.now();
         let event = Event::Refused {
-            code,
-            wait,
+            refusal,
             path: pending.path(),
             waited: now.since(pending.started),
             attempts: pending.attempts,
--- a/src/process/relay.rs
+++ b/src/process/relay.rs
@@ -43,6 +43,7 @@
     id,
     inbound::End,
     node::Event,
+    outcome::Refusal,
     pending::Source,
 };
 
@@ -192,7 +193,7 @@
             _ => Code::BodyCut,
         };
         self.count(crate::metric::Counter::Refused(code));
-        self.refuse(call, code, code.retry_after());
+        self.refuse(call, Refusal::uncertain(code));
         self.on(Event::CallerGone(call));
     }
 
--- a/src/request/ingress.rs
+++ b/src/request/ingress.rs
@@ -46,7 +46,10 @@
         Table, //
     },
     metric::Counts,
-    outcome::Report,
+    outcome::{
+        Refusal,
+        Report, //
+    },
     policy::Policy,
     quota::{
         Holder,
@@ -163,10 +166,9 @@
     Hint(id::Instance, Hint),
     /// Relay the response of this attempt to the caller.
     Deliver(id::Call, id::Request),
-    /// Refuse the call with this code and `Retry-After`. After an
-    /// [`Action::Deliver`], abort the response so that it can't be mistaken for a
-    /// short complete one.
-    Refuse(id::Call, Code, Option<Span>),
+    /// Refuse the call. After an [`Action::Deliver`], abort the response so that it can't
+    /// be mistaken for a short complete one.
+    Refuse(id::Call, Refusal),
     /// Tell the inbound proxy that nobody waits for the attempt any more.
     Cancel(id::Instance, id::Request),
     /// Ask the inbound proxy not to start the attempt.
--- a/src/request/ingress/arrival.rs
+++ b/src/request/ingress/arrival.rs
@@ -28,6 +28,10 @@
     id,
     inbound::OutgoingCall,
     metric::Counter,
+    outcome::{
+        Exposure,
+        Refusal, //
+    },
     policy::{
         Admission,
         Policy,
@@ -56,7 +60,7 @@
             Ok(()) => self.charge(now, call_id, env, out),
             Err(code) => {
                 env.counts.add(Counter::Refused(code));
-                out.push(Action::Refuse(call_id, code, code.retry_after()));
+                out.push(Action::Refuse(call_id, Refusal::unsent(code)));
             }
         }
     }
@@ -133,7 +137,7 @@
             reroutes: 0,
             allowance: Allowance::new(context.allowance),
             grant: None,
-            may_have_run: None,
+            exposure: Exposure::default(),
             attributed_to,
             is_chain_known,
             succeeded: false,
--- a/src/request/ingress/attempt.rs
+++ b/src/request/ingress/attempt.rs
@@ -21,15 +21,15 @@
         Span,
         Time, //
     },
-    code::{
-        Code,
-        Verdict, //
-    },
+    code::Code,
     context::Context,
     frame::Fate,
     id,
     metric::Counter,
-    outcome::Report,
+    outcome::{
+        NotRun,
+        Report, //
+    },
     policy::RetryLimit,
     record::Name,
     retry::{
@@ -71,7 +71,7 @@
         }
         // Once an attempt may have started, the token is spent and its expiry no
         // longer matters.
-        let unspent_grant = call.grant.filter(|_| call.may_have_run.is_none());
+        let unspent_grant = call.grant.filter(|_| !call.exposure.may_have_run());
         let left = unspent_grant.map(|grant| env.quota.time_left(now, &call.context.team, grant));
         if left == Some(None) {
             return self.recharge(now, call_id, env, out);
@@ -124,6 +124,7 @@
             },
             claim: call.claim.clone(),
         });
+        call.exposure.begin(request);
         let attempt = Attempt {
             call: call_id,
             peer,
@@ -163,6 +164,7 @@
         if call.state != State::Sent(request) {
             // The link was lost together with the response body, or the response
             // was relayed already.
+            call.exposure.confirm(Code::LinkLost);
             env.counts.add(Counter::Late);
             return;
         }
@@ -194,7 +196,7 @@
         if let Some(call) = self.calls.get_mut(&call_id) {
             call.state = State::Delivering(request);
             call.succeeded = status < FIRST_ERROR_STATUS;
-            call.mark_may_have_run(Code::UpstreamCut);
+            call.exposure.confirm(Code::UpstreamCut);
             out.push(Action::Deliver(call_id, request));
         }
     }
@@ -268,9 +270,9 @@
                 _ => {}
             }
         }
-        let failure = match code.verdict() {
-            Verdict::NotRun => Failure::NotRun(code),
-            Verdict::Unknown => Failure::Unknown(code),
+        let failure = match NotRun::refused(code) {
+            Some(proof) => self.disprove(call_id, request, proof),
+            None => Failure::Unknown(code),
         };
         self.attempt_failed(now, call_id, failure, report.no_retry, env, out);
     }
@@ -287,7 +289,7 @@
             return;
         };
         self.end_attempt(now, request, 0, Observation::Unhealthy, env);
-        let failure = Failure::NotRun(Code::LinkAbsent);
+        let failure = self.disprove(call_id, request, NotRun::unsent());
         self.attempt_failed(now, call_id, failure, false, env, out);
     }
 
@@ -457,7 +459,7 @@
                 // The attempt was never started, so none of its reserved retries
                 // were spent.
                 self.end_attempt(now, request, 0, Observation::Neutral, env);
-                Failure::NotRun(Code::Revoked)
+                self.disprove(call_id, request, NotRun::revoked())
             }
             Fate::Running | Fate::Ended | Fate::Forgotten => {
                 self.remove_attempt(now, request, Observation::Neutral);
@@ -483,11 +485,30 @@
         {
             return self.retry(now, call_id, failure, reason, env, out);
         }
-        let code = match failure {
-            Failure::NotRun(code) | Failure::Unknown(code) => code,
-            Failure::Failed => Code::UpstreamFailed,
+        if !matches!(failure, Failure::NotRun(_)) {
+            self.confirm(call_id, failure.code());
+        }
+        self.fail(now, call_id, failure.code(), env, out);
+    }
+
+    /// Records that an attempt of the call has not run, and returns how it failed. The
+    /// proof is worth nothing to an order of which another attempt may have run.
+    fn disprove(&mut self, call_id: id::Call, request: id::Request, proof: NotRun) -> Failure {
+        let Some(call) = self.calls.get_mut(&call_id) else {
+            return Failure::NotRun(proof);
         };
-        self.fail(now, call_id, code, env, out);
+        call.exposure.disprove(request, proof);
+        match call.exposure.may_have_run() && !call.idempotent {
+            true => Failure::Unknown(call.exposure.refuse(proof.code()).code()),
+            false => Failure::NotRun(proof),
+        }
+    }
+
+    /// Records why the call's last attempt may have run.
+    fn confirm(&mut self, call_id: id::Call, reason: Code) {
+        if let Some(call) = self.calls.get_mut(&call_id) {
+            call.exposure.confirm(reason);
+        }
     }
 
     /// Returns the reason for a retry if the call may be retried. Consumes a retry
@@ -507,7 +528,7 @@
         if !call.replayable || guarded {
             return None;
         }
-        if failure == Failure::NotRun(Code::Shed) {
+        if failure.is_refusal(Code::Shed) {
             let rank = Rank::of(&call.context, env.policy.nested_first).0;
             let admitted =
                 self.balancer
@@ -520,7 +541,7 @@
         // reach one that had no capacity a moment ago.
         let is_reroute = reason == Reason::NotRun && env.policy.max_reroutes > 0;
         if is_reroute
-            && failure != Failure::NotRun(Code::UpstreamRejected)
+            && !failure.is_refusal(Code::UpstreamRejected)
             && !self
                 .balancer
                 .has_untried(env.members, &call.pool, &call.tried)
@@ -540,7 +561,7 @@
             }
             // No upstream has seen the call, so a reroute costs nothing but time.
             Reason::NotRun => {
-                failure != Failure::NotRun(Code::UpstreamRejected)
+                !failure.is_refusal(Code::UpstreamRejected)
                     && call.reroutes < env.policy.max_reroutes
             }
             Reason::Unknown | Reason::Failed => false,
@@ -567,7 +588,7 @@
         let Some(call) = self.calls.get_mut(&call_id) else {
             return false;
         };
-        let is_rejection = failure == Failure::NotRun(Code::UpstreamRejected);
+        let is_rejection = failure.is_refusal(Code::UpstreamRejected);
         let can_repeat =
             is_rejection && call.rejected_by.len() <= usize::from(env.policy.max_rejection_retries);
         if let RetryLimit::PerHop(max_retries) = env.policy.retry_limit {
@@ -642,12 +663,10 @@
             return;
         };
         env.counts.add(Counter::Retried(reason));
-        match failure {
-            Failure::NotRun(_) => {}
-            Failure::Unknown(code) => call.mark_may_have_run(code),
-            Failure::Failed => call.mark_may_have_run(Code::UpstreamFailed),
+        if !matches!(failure, Failure::NotRun(_)) {
+            call.exposure.confirm(failure.code());
         }
-        let not_seen_upstream = failure != Failure::NotRun(Code::UpstreamRejected);
+        let not_seen_upstream = !failure.is_refusal(Code::UpstreamRejected);
         let leaving = reason == Reason::Leaving && !call.left_leaving_instance;
         let is_reroute = reason == Reason::NotRun || reason == Reason::Leaving;
         if leaving || (is_reroute && not_seen_upstream && call.reroutes < env.policy.max_reroutes) {
--- a/src/request/ingress/call.rs
+++ b/src/request/ingress/call.rs
@@ -21,6 +21,7 @@
         Importance, //
     },
     id,
+    outcome::Exposure,
     quota::{
         Charge,
         bank::WaitingCounts, //
@@ -90,9 +91,8 @@
     pub reroutes: u8,
     /// The rate token of the call, as long as it can be returned.
     pub grant: Option<id::Grant>,
-    /// Code of an earlier attempt that may have run. No refusal may claim that the
-    /// call was not run then.
-    pub may_have_run: Option<Code>,
+    /// Whether an attempt may have run. No refusal may claim the contrary then.
+    pub exposure: Exposure,
     /// The local attempt that most likely made the call, if the call names none.
     pub attributed_to: Option<id::Request>,
     /// Whether it is certain which attempt made the call, so that the progress of its
@@ -159,12 +159,7 @@
 
     /// Whether an earlier attempt has reached an upstream.
     pub fn has_reached_upstream(&self) -> bool {
-        self.may_have_run.is_some() || !self.rejected_by.is_empty()
-    }
-
-    /// Records that an attempt may have run. The first code is kept.
-    pub fn mark_may_have_run(&mut self, code: Code) {
-        self.may_have_run.get_or_insert(code);
+        self.exposure.may_have_run() || !self.rejected_by.is_empty()
     }
 }
 
--- a/src/request/ingress/end.rs
+++ b/src/request/ingress/end.rs
@@ -20,13 +20,16 @@
     comeback,
     id,
     metric::Counter,
-    outcome::Report,
+    outcome::{
+        Refusal,
+        Report, //
+    },
     policy::Policy, //
 };
 
 impl Router {
-    /// Refuses the call. If an earlier attempt may have run, a code with the verdict
-    /// "not run" would be wrong and is replaced by the code of that attempt.
+    /// Refuses the call, with the code of an attempt that may have run if the given one
+    /// claims that none has.
     pub(super) fn fail(
         &mut self,
         now: Time,
@@ -38,12 +41,12 @@
         let Some(call) = self.calls.get_mut(&call_id) else {
             return;
         };
-        let not_run = code.verdict() == Verdict::NotRun;
-        let code = match call.may_have_run {
-            Some(earlier) if not_run => earlier,
-            _ => code,
-        };
-        if code.verdict() == Verdict::NotRun
+        let refusal = call.exposure.refuse(code);
+        if call.exposure.is_open() && code.verdict() == Verdict::NotRun {
+            env.counts.add(Counter::OutcomeUnproven);
+        }
+        let code = refusal.code();
+        if refusal.evidence().is_some()
             && let Some(grant) = call.grant.take()
         {
             env.quota.give_back(now, &call.context.team, grant);
@@ -51,7 +54,7 @@
         self.forbid_parent_retry(now, call_id, env);
         env.counts.add(Counter::Refused(code));
         let wait = self.retry_after(now, call_id, code, env);
-        out.push(Action::Refuse(call_id, code, wait));
+        out.push(Action::Refuse(call_id, refusal.retry_after(wait)));
         self.unanswered.remove(call_id);
         self.remove_call(now, call_id, env);
     }
@@ -116,7 +119,8 @@
         if !self.calls.contains_key(&call_id) {
             env.counts.add(Counter::CallForgotten);
             env.counts.add(Counter::Refused(Code::DeadlinePassed));
-            return out.push(Action::Refuse(call_id, Code::DeadlinePassed, None));
+            let refusal = Refusal::uncertain(Code::DeadlinePassed);
+            return out.push(Action::Refuse(call_id, refusal));
         }
         let code = match self.cancel_attempt(now, call_id, env.policy, out) {
             true => Code::DeadlinePassed,
@@ -149,12 +153,11 @@
         out: &mut Vec<Action>,
     ) {
         self.unanswered.remove(call_id);
-        let sent = self.cancel_attempt(now, call_id, env.policy, out);
+        self.cancel_attempt(now, call_id, env.policy, out);
         let Some(call) = self.calls.get_mut(&call_id) else {
             return;
         };
-        if !sent
-            && call.may_have_run.is_none()
+        if !call.exposure.may_have_run()
             && let Some(grant) = call.grant.take()
         {
             env.quota.give_back(now, &call.context.team, grant);
--- a/src/request/retry.rs
+++ b/src/request/retry.rs
@@ -24,7 +24,8 @@
     },
     code::Code,
     context::Importance,
-    id::Pool, //
+    id::Pool,
+    outcome::NotRun, //
 };
 
 /// Default ratio of a pool's retries to its first attempts.
@@ -58,7 +59,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
     /// The request was certainly not run.
-    NotRun(Code),
+    NotRun(NotRun),
     /// The request may have run.
     Unknown(Code),
     /// The upstream responded with a failure status.
@@ -69,15 +70,30 @@
     /// Returns the reason for a retry, or `None` if the failure doesn't allow one.
     pub fn reason(self, idempotent: bool) -> Option<Reason> {
         match self {
-            Self::NotRun(Code::Leaving) => Some(Reason::Leaving),
-            Self::NotRun(code) if may_succeed_elsewhere(code) => Some(Reason::NotRun),
-            Self::NotRun(_) => None,
+            Self::NotRun(proof) => match proof.code() {
+                Code::Leaving => Some(Reason::Leaving),
+                code => may_succeed_elsewhere(code).then_some(Reason::NotRun),
+            },
             // Another instance would hold it back as well.
             Self::Unknown(Code::Suspect) => None,
             Self::Unknown(_) => idempotent.then_some(Reason::Unknown),
             Self::Failed => idempotent.then_some(Reason::Failed),
         }
     }
+
+    /// Returns the code with which the call is refused if it is not retried.
+    pub fn code(self) -> Code {
+        match self {
+            Self::NotRun(proof) => proof.code(),
+            Self::Unknown(code) => code,
+            Self::Failed => Code::UpstreamFailed,
+        }
+    }
+
+    /// Whether the request was refused with this code, and not run.
+    pub fn is_refusal(self, code: Code) -> bool {
+        matches!(self, Self::NotRun(proof) if proof.code() == code)
+    }
 }
 
 /// Returns whether another instance may accept a request refused with this code.
--- a/src/standin/driver.rs
+++ b/src/standin/driver.rs
@@ -694,9 +694,9 @@
                 let status = self.nodes[node].status.remove(&request).unwrap_or(0);
                 self.end(call.0 as usize, End::Status(status));
             }
-            Action::Refuse(call, code, _) => {
+            Action::Refuse(call, refusal) => {
                 let lie = self.plant == Some(Promise::NotRun);
-                let code = if lie { Code::Shed } else { code };
+                let code = if lie { Code::Shed } else { refusal.code() };
                 self.end(call.0 as usize, End::Code(code));
             }
             Action::Frame(peer, frame) => self.send(node, &peer, frame),
--- a/tests/platform/unproven.rs
+++ b/tests/platform/unproven.rs
@@ -1,11 +1,8 @@
 //! Statuses of an upstream that promise that a request has not run, without its word for it.
 
-use bluebellswitch::{
-    platform::names,
-    standin::upstream::{
-        Act,
-        Seen, //
-    },
+use bluebellswitch::standin::upstream::{
+    Act,
+    Seen, //
 };
 
 use crate::site::{
@@ -38,7 +35,7 @@
         let orders = orders.iter().filter(|seen| seen.method == "POST").count();
         assert_eq!(orders, 1);
         assert_eq!(answer.status, 502);
-        assert_eq!(answer.header(names::NAMES.seal.unwrap()), None);
+        assert_eq!(answer.header("bluebellswitch-response-seal"), None);
     });
 }
 
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -23,6 +23,8 @@
 mod limit;
 #[path = "policy/orders.rs"]
 mod orders;
+#[path = "policy/outcome.rs"]
+mod outcome;
 #[path = "policy/overload.rs"]
 mod overload;
 #[path = "policy/rejection.rs"]
--- a/tests/policy/orders.rs
+++ b/tests/policy/orders.rs
@@ -294,9 +294,9 @@
                 self.told = true;
                 self.router.record_delivered(call);
             }
-            ingress::Action::Refuse(_, code, _) => {
+            ingress::Action::Refuse(_, refusal) => {
                 self.told = true;
-                self.told_not_run |= code.verdict() == Verdict::NotRun;
+                self.told_not_run |= refusal.code().verdict() == Verdict::NotRun;
             }
         }
     }
--- a/tests/policy/rejection.rs
+++ b/tests/policy/rejection.rs
@@ -146,7 +146,7 @@
 
 fn refused(actions: &[Action], code: Code) -> bool {
     let mut codes = actions.iter().filter_map(|action| match action {
-        Action::Refuse(_, code, _) => Some(*code),
+        Action::Refuse(_, refusal) => Some(refusal.code()),
         _ => None,
     });
     codes.any(|refused| refused == code)
--- a/tests/policy/stall.rs
+++ b/tests/policy/stall.rs
@@ -210,7 +210,7 @@
             }
             Action::Cancel(_, request) => self.work.retain(|work| work.request != request),
             Action::Deliver(call, _) => self.router.record_delivered(call),
-            Action::Refuse(_, code, _) => self.refused.push(code),
+            Action::Refuse(_, refusal) => self.refused.push(refusal.code()),
             _ => {}
         }
     }
