Tell the router the status of an answer

Nodes over sockets moved the head of an answer to the caller's handler before they told the router of it, so the router took every status for 0. Reads that an upstream failed with a 5xx were never sent again, a failing instance was never observed as one, and the progress of a chain counted failures as successes.

Found by the test for a status that promises too much, which the router cannot see without it. `a_failed_read_is_sent_again` fails before (500).

--- a/src/process/intake.rs
+++ b/src/process/intake.rs
@@ -73,7 +73,9 @@
                 if let Some(attempt) = attempts.get_mut(request)
                     && attempt.peer == *peer
                 {
+                    let status = head.status;
                     attempt.head = Some(std::mem::take(head));
+                    head.status = status;
                 }
             }
             Frame::Chunk { .. } | Frame::End { .. } | Frame::Cut { .. } => {
