Soak: one fault at a time ends and starts a server

Servers of the platform say nothing more after they have deregistered; the stand-in now does so, and faults that end or start a server wait for none other.

--- a/src/soak/plan.rs
+++ b/src/soak/plan.rs
@@ -232,31 +232,13 @@
             let factor = rng.random_range(2..30);
             spoil(machine, long, |faults| faults.slow = factor).await;
         }
-        Fault::Crash => {
-            machine.server.ail(long);
-            machine.server.crash();
-            pause(short).await;
-            let started = match rng.random() {
-                true => machine.server.start_again(&world, number).await,
-                false => machine.server.start(&world, number).await,
-            };
-            report(&world, number, started);
-        }
-        Fault::Reuse => {
-            let other = SERVICES[(number + 1) % SERVICES.len()];
-            machine.server.ail(long + long);
-            machine.server.crash();
-            pause(Span::from_ms(50)).await;
-            report(
-                &world,
-                number,
-                machine.server.lend(&world, number, other).await,
-            );
-            pause(long).await;
-            machine.server.crash();
-            report(&world, number, machine.server.start(&world, number).await);
+        Fault::Crash | Fault::Reuse | Fault::Leave => {
+            if machine.server.begin_change() {
+                let changed = change_server(&world, number, fault, rng).await;
+                report(&world, number, changed);
+                machine.server.end_change();
+            }
         }
-        Fault::Leave => leave(&world, number, rng.random()).await,
         Fault::Stop => stand_still(machine, long).await,
         Fault::StopAcross => {
             let other = &world.machines[rng.random_range(0..world.machines.len())];
@@ -333,13 +315,46 @@
     }
 }
 
+/// Ends a server and starts it again, or another one in its place.
+async fn change_server(
+    world: &Rc<World>,
+    number: usize,
+    fault: Fault,
+    rng: &mut ChaCha8Rng,
+) -> Result<()> {
+    let server = &world.machines[number].server;
+    let down = Span::from_ms(rng.random_range(SHORT_MS));
+    match fault {
+        Fault::Reuse => {
+            let other = SERVICES[(number + 1) % SERVICES.len()];
+            server.ail(down + down + down);
+            server.crash();
+            pause(Span::from_ms(50)).await;
+            server.lend(world, number, other).await?;
+            pause(down + down).await;
+            server.crash();
+        }
+        Fault::Leave => leave(world, number, rng.random()).await,
+        _ => {
+            server.ail(down + down);
+            server.crash();
+            pause(down).await;
+            if rng.random() {
+                return server.start_again(world, number).await;
+            }
+        }
+    }
+    server.start(world, number).await
+}
+
 /// Lets a server leave, with an announcement beforehand or without.
 async fn leave(world: &Rc<World>, number: usize, announced: bool) {
     let server = &world.machines[number].server;
     let bounds = world.dialect.bounds();
     match announced {
-        true => server.leave(),
+        true => server.leave(State::Draining),
         false => {
+            server.leave(State::Gone);
             if server::say(world, number, State::Gone).await {
                 server.drain_acknowledged.set(Some(Clock.now()));
             }
@@ -352,10 +367,10 @@
     let left = bounds.drain + Span::from_secs(1);
     server.ail(left + Span::from_secs(2));
     pause(left).await;
+    server.leave(State::Gone);
     server::say(world, number, State::Gone).await;
     server.crash();
     pause(Span::from_ms(200)).await;
-    report(world, number, server.start(world, number).await);
 }
 
 /// Records a fault that could not be played.
--- a/src/soak/server.rs
+++ b/src/soak/server.rs
@@ -126,6 +126,8 @@
     born: Cell<u64>,
     sequence: Cell<u64>,
     state: Cell<State>,
+    /// Whether a fault ends and starts the server.
+    is_changing: Cell<bool>,
     /// When the present server's leaving was acknowledged.
     pub(super) drain_acknowledged: Cell<Option<Time>>,
     pub(super) faults: RefCell<Faults>,
@@ -147,6 +149,7 @@
             born: Cell::new(0),
             sequence: Cell::new(0),
             state: Cell::new(State::Gone),
+            is_changing: Cell::new(false),
             drain_acknowledged: Cell::new(None),
             faults: RefCell::default(),
             sick: RefCell::default(),
@@ -231,9 +234,19 @@
         }
     }
 
-    /// Announces that the server leaves, while it goes on serving.
-    pub(super) fn leave(&self) {
-        self.state.set(State::Draining);
+    /// Lets the server announce that it leaves, or announce nothing more, while it goes on
+    /// serving.
+    pub(super) fn leave(&self, state: State) {
+        self.state.set(state);
+    }
+
+    /// Claims the right to end and start the server. Returns whether no other fault has it.
+    pub(super) fn begin_change(&self) -> bool {
+        !self.is_changing.replace(true)
+    }
+
+    pub(super) fn end_change(&self) {
+        self.is_changing.set(false);
     }
 }
 
