--- a/src/soak/client.rs
+++ b/src/soak/client.rs
@@ -52,8 +52,9 @@
 
 /// Longest time that a client waits.
 pub(super) const LONGEST_DEADLINE: Span = Span::from_ms(4000);
-/// Clients of each machine.
+/// Most clients of each machine, and of all, as far as each machine has one.
 const CLIENTS: usize = 6;
+const ALL_CLIENTS: usize = 120;
 /// Pause of a client between two requests, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 20..220;
 const CONNECT_TIMEOUT: Span = Span::from_secs(1);
@@ -108,7 +109,8 @@
 
 /// Starts the clients of a machine.
 pub(super) fn start(world: &Rc<World>, machine: usize) {
-    for _ in 0..CLIENTS {
+    let clients = (ALL_CLIENTS / world.machines.len()).clamp(1, CLIENTS);
+    for _ in 0..clients {
         actix_rt::spawn(live(world.clone(), machine));
     }
 }
