--- a/src/soak/machine.rs
+++ b/src/soak/machine.rs
@@ -342,6 +342,7 @@
         }
         if Clock.now() >= self.start_at.get() {
             self.told_to_end.set(false);
+            self.kill_at.set(Time::NEVER);
             *child = Some(self.command.borrow_mut().spawn()?);
             self.start_at.set(Time::ZERO);
         }
