Soak: name what a fault spoils apart from when, end with the processes it started

The function that plays a fault had grown long; what is drawn for a server and for the store now stands apart. A soak that is interrupted ends its processes. Reads of the front service may be sent three times, as routes of some deployments allow.

--- a/src/request/ingress/attempt.rs
+++ b/src/request/ingress/attempt.rs
@@ -508,8 +508,8 @@
         self.fail(now, call_id, failure.code(), env, out);
     }
 
-    /// Records that an attempt of the call has not run, and returns how it failed. The
-    /// proof is worth nothing to an order of which another attempt may have run.
+    /// Records that an attempt of the call has not run, and returns how it failed: if the
+    /// call must not run twice and another attempt may have run, with an unknown outcome.
     fn disprove(&mut self, call_id: id::Call, request: id::Request, proof: NotRun) -> Failure {
         let Some(call) = self.calls.get_mut(&call_id) else {
             return Failure::NotRun(proof);
--- a/src/soak.rs
+++ b/src/soak.rs
@@ -36,6 +36,10 @@
     SeedableRng, //
 };
 use rand_chacha::ChaCha8Rng;
+use tokio::signal::unix::{
+    SignalKind,
+    signal, //
+};
 
 pub(crate) use self::{
     config::{
@@ -215,7 +219,10 @@
 /// Fails if the processes cannot be started, or with one error for each broken rule.
 pub(crate) async fn run(options: Options, dialect: Box<dyn Dialect>) -> Result<(), Vec<Error>> {
     let world = Rc::new(start(options, dialect).await.map_err(|error| vec![error])?);
-    let played = play(&world).await;
+    let played = tokio::select! {
+        played = play(&world) => played,
+        interrupted = interrupted() => interrupted,
+    };
     for machine in &world.machines {
         machine.end();
     }
@@ -270,7 +277,7 @@
 
 async fn play(world: &Rc<World>) -> Result<()> {
     for machine in &world.machines {
-        machine.relay(store_of(world)).await?;
+        machine.relay().await?;
         machine.server.start(world, machine.number).await?;
         actix_rt::spawn(machine::supervise(world.clone(), machine.number));
         actix_rt::spawn(server::announce(world.clone(), machine.number));
@@ -288,8 +295,15 @@
     Ok(())
 }
 
-fn store_of(world: &World) -> SocketAddr {
-    world.machines[0].addresses.real_store
+/// Returns when this process is told to end.
+async fn interrupted() -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Err(Error::broken("the soak was interrupted"))
 }
 
 /// Records when this process gets no processor time, for which the nodes aren't blamed.
--- a/src/soak/config.rs
+++ b/src/soak/config.rs
@@ -76,7 +76,7 @@
 
 /// All routes.
 pub(crate) const ROUTES: [Route; 7] = [
-    route("view", Kind::Safe, Some("front"), false, 2),
+    route("view", Kind::Safe, Some("front"), false, 3),
     route("order", Kind::Unsafe, Some("orders"), false, 2),
     route("ship", Kind::Unsafe, Some("front"), false, 3),
     route("upload", Kind::Upload, Some("orders"), false, 2),
--- a/src/soak/judge.rs
+++ b/src/soak/judge.rs
@@ -50,13 +50,13 @@
 const MAX_LOST: usize = 3;
 /// From how many requests on lateness is judged.
 const MIN_LATE: usize = 8;
-/// Time after a change of the configuration within which it may be in force or not.
-const BEFORE_CONTACT: Span = Span::from_ms(3000);
+/// How long a machine must have been undisturbed before a rule on time binds it.
+const CONTACT: Span = Span::from_ms(3000);
 
-/// Whether one of the spans of time lies within another, or shortly before.
-pub(super) fn overlaps(spans: &[(Time, Time)], from: Time, to: Time) -> bool {
-    let touches = |(start, end): &(Time, Time)| *start <= to && from <= *end + BEFORE_CONTACT;
-    spans.iter().any(touches)
+/// Whether one of the disturbances lies between two times, or shortly before them.
+pub(super) fn overlaps(disturbances: &[(Time, Time)], from: Time, to: Time) -> bool {
+    let touches = |(start, end): &(Time, Time)| *start <= to && from <= *end + CONTACT;
+    disturbances.iter().any(touches)
 }
 
 /// Returns the cases of each broken rule.
--- a/src/soak/machine.rs
+++ b/src/soak/machine.rs
@@ -248,9 +248,9 @@
     }
 
     /// Starts the relays of the machine.
-    pub(super) async fn relay(&self, store: SocketAddr) -> Result<()> {
+    pub(super) async fn relay(&self) -> Result<()> {
         self.link_relay.start(self.addresses.links).await?;
-        self.store_relay.start(store).await
+        self.store_relay.start(self.addresses.real_store).await
     }
 
     /// Records that the machine is disrupted for some time from now on.
--- a/src/soak/plan.rs
+++ b/src/soak/plan.rs
@@ -32,7 +32,8 @@
     server::{
         self,
         Faults,
-        GARBLES, //
+        GARBLES,
+        Garble, //
     },
 };
 use crate::{
@@ -188,50 +189,13 @@
     let short = Span::from_ms(rng.random_range(SHORT_MS));
     let long = Span::from_ms(rng.random_range(LONG_MS));
     match fault {
-        Fault::Shed => {
-            let (shed, early) = (rng.random_range(0.1..0.9), rng.random());
-            spoil(machine, long, |faults| {
-                (faults.shed, faults.early) = (shed, early);
-            })
-            .await;
-        }
-        Fault::ShedAndCopy => {
-            let (shed, copy) = (rng.random_range(0.1..0.5), rng.random_range(0.02..0.15));
-            spoil(machine, long, |faults| {
-                (faults.shed, faults.garble) = (shed, copy);
-                faults.garbles = vec![server::Garble::Late];
-            })
-            .await;
-        }
-        Fault::Garble => {
-            let share = rng.random_range(0.02..0.3);
-            let kind = GARBLES[rng.random_range(0..GARBLES.len())];
-            spoil(machine, long, |faults| {
-                faults.garble = share;
-                faults.garbles.push(kind);
-            })
-            .await;
-        }
-        Fault::Unproven => {
-            let share = rng.random_range(0.02..0.3);
-            spoil(machine, long, |faults| {
-                faults.garble = share;
-                faults.garbles.push(server::Garble::Unproven);
-            })
-            .await;
-        }
-        Fault::Lose => {
-            let (share, reset) = (rng.random_range(0.02..0.3), rng.random());
-            spoil(machine, long, |faults| {
-                (faults.lose, faults.reset) = (share, reset);
-            })
-            .await;
-        }
         Fault::Silent => spoil(machine, short, |faults| faults.silent = true).await,
-        Fault::Slow => {
-            let factor = rng.random_range(2..30);
-            spoil(machine, long, |faults| faults.slow = factor).await;
-        }
+        Fault::Shed
+        | Fault::ShedAndCopy
+        | Fault::Garble
+        | Fault::Unproven
+        | Fault::Lose
+        | Fault::Slow => spoil(machine, long, |faults| draw_spoil(fault, rng, faults)).await,
         Fault::Crash | Fault::Reuse | Fault::Leave => {
             if machine.server.begin_change() {
                 let changed = change_server(&world, number, fault, rng).await;
@@ -260,17 +224,13 @@
             harm(&machine.store_relay, draw_mode(rng), long).await;
         }
         Fault::Store => {
-            for machine in &world.machines {
-                machine.disrupt(long);
-            }
-            world.store.set(match rng.random_range(0..4) {
+            let mood = match rng.random_range(0..4) {
                 0 => Mood::Refuses(503),
                 1 => Mood::Refuses(429),
                 2 => Mood::Silent,
                 _ => Mood::Late(short),
-            });
-            pause(long).await;
-            world.store.set(Mood::Well);
+            };
+            harm_store(&world, mood, long).await;
         }
         Fault::Configure => {
             let now = Clock.now();
@@ -284,6 +244,36 @@
     }
 }
 
+/// Draws what is wrong with a server.
+fn draw_spoil(fault: Fault, rng: &mut ChaCha8Rng, faults: &mut Faults) {
+    match fault {
+        Fault::Shed => {
+            faults.shed = rng.random_range(0.1..0.9);
+            faults.early = rng.random();
+        }
+        Fault::ShedAndCopy => {
+            faults.shed = rng.random_range(0.1..0.5);
+            faults.garble = rng.random_range(0.02..0.15);
+            faults.garbles = vec![Garble::Late];
+        }
+        Fault::Garble => {
+            faults.garble = rng.random_range(0.02..0.3);
+            faults
+                .garbles
+                .push(GARBLES[rng.random_range(0..GARBLES.len())]);
+        }
+        Fault::Unproven => {
+            faults.garble = rng.random_range(0.02..0.3);
+            faults.garbles.push(Garble::Unproven);
+        }
+        Fault::Lose => {
+            faults.lose = rng.random_range(0.02..0.3);
+            faults.reset = rng.random();
+        }
+        _ => faults.slow = rng.random_range(2..30),
+    }
+}
+
 /// Spoils a server for some time.
 async fn spoil(machine: &Machine, span: Span, change: impl FnOnce(&mut Faults)) {
     machine.server.ail(span + Span::from_secs(1));
@@ -305,6 +295,15 @@
     relay.set(Mode::Pass);
 }
 
+async fn harm_store(world: &World, mood: Mood, span: Span) {
+    for machine in &world.machines {
+        machine.disrupt(span);
+    }
+    world.store.set(mood);
+    pause(span).await;
+    world.store.set(Mood::Well);
+}
+
 fn draw_mode(rng: &mut ChaCha8Rng) -> Mode {
     match rng.random_range(0..5) {
         0 => Mode::Delay(Span::from_ms(rng.random_range(5..300))),
