--- a/src/process/server.rs
+++ b/src/process/server.rs
@@ -216,6 +216,7 @@
                 max_rejection_retries: MAX_REJECTION_RETRIES,
                 attribution: true,
                 max_token_wait: MAX_TOKEN_WAIT,
+                retry_failures: false,
                 promising_statuses: interface.promising_statuses,
                 ..Policy::default()
             });
--- a/src/request/ingress/attempt.rs
+++ b/src/request/ingress/attempt.rs
@@ -174,7 +174,8 @@
         if let Some(grant) = call.grant.take() {
             env.quota.mark_begun(&call.context.team, grant);
         }
-        match retry::is_failure(status) {
+        let is_failure = env.policy.retry_failures && retry::is_failure(status);
+        match is_failure {
             true => self.balancer.stalls.record_end(now, peer, request),
             false => self.balancer.stalls.record_answer(now, peer, request),
         }
@@ -186,7 +187,7 @@
             let failure = Failure::Unknown(Code::StatusUnproven);
             return self.attempt_failed(now, call_id, failure, report.no_retry, env, out);
         }
-        if retry::is_failure(status) {
+        if is_failure {
             let observation = if report.no_retry {
                 Observation::Neutral
             } else {
--- a/src/request/policy.rs
+++ b/src/request/policy.rs
@@ -97,6 +97,9 @@
     pub prefer_local_domain: bool,
     /// Ejects failing instances for a while.
     pub ejection: bool,
+    /// Sends idempotent requests again that an upstream has answered with a failure, and
+    /// counts such answers against the health of the instance.
+    pub retry_failures: bool,
     /// Statuses that tell callers that their request has not run. An upstream's own
     /// response to a request that must not run twice is not relayed with one of them.
     pub promising_statuses: &'static [u16],
@@ -142,6 +145,7 @@
             load_balancing: true,
             prefer_local_domain: true,
             ejection: true,
+            retry_failures: true,
             promising_statuses: &[],
             scheduling: Scheduling::default(),
         }
--- a/src/soak/judge.rs
+++ b/src/soak/judge.rs
@@ -1,7 +1,7 @@
 //! Judges a soak by what clients and servers saw.
 //!
-//! Rules that bound a time hold only for machines that were [calm](is_calm): undisturbed,
-//! and for a while before. The rules on single requests hold always.
+//! Rules that bound a time hold only for machines that were undisturbed, and for a while
+//! before. The rules on single requests hold always.
 
 use std::collections::{
     BTreeMap,
