Give the upstream of a link test the slots that it needs

The test waits until forty requests are at the inner node.

The pool now has room for all forty from the beginning.

--- a/tests/path/link.rs
+++ b/tests/path/link.rs
@@ -7,6 +7,7 @@
 
 use actix_rt::task::JoinHandle;
 use bluebellswitch::{
+    id::Version,
     metric::Counter,
     standin::upstream::Act, //
 };
@@ -27,6 +28,7 @@
     Site,
     raw,
     run,
+    snapshot,
     until, //
 };
 
@@ -160,6 +162,15 @@
         let held = release.clone();
         let site =
             Site::start(move |_| Act::Hold(held.clone(), Box::new(Act::whole("whole")))).await;
+        let mut roomy = snapshot();
+        roomy.version = Version(2);
+        for pool in &mut roomy.tables.pools {
+            // The ramp of a new upstream begins with a tenth.
+            pool.slots = Some(10 * CALLERS as u32);
+        }
+        let roomy = Rc::new(roomy);
+        site.edge.adopt(roomy.clone());
+        site.inner.adopt(roomy);
         let mut whole = 0;
         for _ in 0..ROUNDS {
             let callers: Vec<_> = (0..CALLERS).map(|_| site.caller()).collect();
