Soak: lapsed records, links reset in series, starved nodes, and two stricter rules

- store-away: a node cannot reach the store for 9 to 14 s.
LOST now includes an order that is answered 502 by a node while a sound server runs it; trouble with the store alone excuses nothing there.
A slow server counts as sound.
- flap: links to a node are reset again and again for up to 5 s.
UNANSWERED is a request that has no answer and no end 2 s after its timeout.
- starve: a process is stopped and goes on in turns of some ten ms.

--- a/src/soak/client.rs
+++ b/src/soak/client.rs
@@ -231,7 +231,9 @@
         body: xxh3_64(&body),
         sent: Clock.now(),
         kept: false,
+        is_behind: false,
         got: None,
+        sealed: false,
         arrivals: Vec::new(),
     };
     world.record().requests.insert(id.clone(), request);
@@ -304,6 +306,11 @@
     let requests: Vec<_> = (0..PIPELINED)
         .map(|_| prepare(world, machine, route, Some(key.clone()), LONGEST_DEADLINE))
         .collect();
+    for request in &requests[1..] {
+        if let Some(request) = world.record().requests.get_mut(&request.id) {
+            request.is_behind = true;
+        }
+    }
     let connection = connect(world, &requests[0].id, machine, kept).await;
     let mut answered = 0;
     let end = match connection {
@@ -462,6 +469,9 @@
         Some(_) if is_success && answer.body != server::answer_body(id) => Some("another body"),
         _ => None,
     };
+    if let Some(request) = record.requests.get_mut(id) {
+        request.sealed = seal.is_some();
+    }
     if let Some(wrong) = wrong {
         record.break_rule(Rule::Mixed, format!("{id}: {wrong}"));
     }
--- a/src/soak/judge.rs
+++ b/src/soak/judge.rs
@@ -11,6 +11,7 @@
 use super::{
     World,
     config::{
+        Kind,
         LIMIT_BURST,
         LIMIT_RATE,
         LIMITED_TEAM,
@@ -46,6 +47,8 @@
 
 /// How long after its timeout a request may be answered.
 const LATENESS: Span = Span::from_ms(500);
+/// How long after its timeout a request must have an answer or the end of its connection.
+const MAX_OVERRUN: Span = Span::from_ms(2000);
 /// Requests of kept connections that may be lost.
 const MAX_LOST: usize = 3;
 /// From how many requests on lateness is judged.
@@ -105,11 +108,23 @@
                 broken.push((Rule::Refused, format!("ran at {}, got {got:?}", places())));
             }
         }
+        broken.extend(self.unanswered(request));
         broken.extend(self.place(request));
         broken.extend(self.key(request));
         broken
     }
 
+    /// Judges whether a request was answered at all.
+    fn unanswered(&self, request: &Request) -> Option<(Rule, String)> {
+        let (at, got) = request.got?;
+        let took = at.since(request.sent);
+        let is_unanswered = got == Got::Nothing
+            && took >= ROUTE_TIMEOUT + MAX_OVERRUN
+            && !request.is_behind
+            && self.is_calm(request.machine, request.sent, at);
+        is_unanswered.then(|| (Rule::Unanswered, format!("no answer within {took}")))
+    }
+
     /// Judges where a request ran.
     fn place(&self, request: &Request) -> Option<(Rule, String)> {
         let configuration = self.world.configuration();
@@ -155,6 +170,7 @@
     fn all(&self) -> Vec<(Rule, String)> {
         let mut broken = Vec::new();
         broken.extend(self.lost());
+        broken.extend(self.broken_off());
         broken.extend(self.late());
         broken.extend(self.quota());
         broken.extend(SERVICES.iter().filter_map(|service| self.budget(service)));
@@ -187,6 +203,32 @@
         }
     }
 
+    /// Orders that a node broke off while a sound server worked on them.
+    fn broken_off(&self) -> Vec<(Rule, String)> {
+        let is_broken_off = |request: &Request| {
+            let Some((at, Got::Status(502))) = request.got else {
+                return false;
+            };
+            let is_at_work = |machine: usize| {
+                let machine = &self.world.machines[machine];
+                machine.server.is_sound(request.sent, at)
+                    && machine.is_calm_but_for_store(request.sent, at)
+            };
+            let machine = &self.world.machines[request.machine];
+            request.route.kind == Kind::Unsafe
+                && !request.sealed
+                && at.since(request.sent) < ROUTE_TIMEOUT
+                && request.runs().any(|run| is_at_work(run.machine))
+                && machine.is_calm_but_for_store(request.sent, at)
+                && !self.record.is_stalled(request.sent, at)
+        };
+        let requests = self.record.requests.iter();
+        let broken_off = requests.filter(|(_, request)| is_broken_off(request));
+        broken_off
+            .map(|(id, _)| (Rule::Lost, format!("{id} answered 502 while it ran")))
+            .collect()
+    }
+
     /// Requests that outlast the timeout of their route.
     fn late(&self) -> Option<(Rule, String)> {
         let limit = ROUTE_TIMEOUT + LATENESS;
--- a/src/soak/machine.rs
+++ b/src/soak/machine.rs
@@ -187,6 +187,8 @@
     process: Process,
     /// When the machine was disrupted, until when.
     disruptions: RefCell<Vec<(Time, Time)>>,
+    /// The same of its connections to the store.
+    store_disruptions: RefCell<Vec<(Time, Time)>>,
 }
 
 /// The process of a node.
@@ -244,6 +246,7 @@
                 start_at: Cell::new(Time::ZERO),
             },
             disruptions: RefCell::default(),
+            store_disruptions: RefCell::default(),
         })
     }
 
@@ -259,8 +262,20 @@
         self.disruptions.borrow_mut().push((now, now + span));
     }
 
+    /// Records that the machine cannot use the store for some time from now on.
+    pub(super) fn disrupt_store(&self, span: Span) {
+        let now = Clock.now();
+        self.store_disruptions.borrow_mut().push((now, now + span));
+    }
+
     /// Whether the machine was undisturbed all the time, and some time before.
     pub(super) fn is_calm(&self, from: Time, to: Time) -> bool {
+        let store_disruptions = self.store_disruptions.borrow();
+        self.is_calm_but_for_store(from, to) && !judge::overlaps(&store_disruptions, from, to)
+    }
+
+    /// The same, whatever became of its connections to the store.
+    pub(super) fn is_calm_but_for_store(&self, from: Time, to: Time) -> bool {
         let disruptions = self.disruptions.borrow();
         !judge::overlaps(&disruptions, from, to)
     }
--- a/src/soak/plan.rs
+++ b/src/soak/plan.rs
@@ -90,6 +90,8 @@
     Leave = "leave";
     /// A node's process stands still.
     Stop = "stop";
+    /// A node's process gets little processor time.
+    Starve = "starve";
     /// Two nodes' processes stand still, the second one from the middle of the first on.
     StopAcross = "stop-across";
     /// A node's process is killed.
@@ -100,8 +102,12 @@
     HangUp = "hang-up";
     /// Links to a node are delayed, held back or reset.
     Link = "link";
+    /// Links to a node are reset again and again.
+    Flap = "flap";
     /// A node's connections to the store are delayed, held back or reset.
     StoreLink = "store-link";
+    /// A node cannot reach the store until its records lapse.
+    StoreAway = "store-away";
     /// The store refuses, is silent, or writes late.
     Store = "store";
     /// The operator moves a route or exchanges a key.
@@ -132,6 +138,13 @@
 /// How long faults last, in milliseconds.
 const SHORT_MS: std::ops::Range<u64> = 20..1500;
 const LONG_MS: std::ops::Range<u64> = 300..5000;
+/// How long a node cannot reach the store, in milliseconds.
+const AWAY_MS: std::ops::Range<u64> = 9000..14_000;
+/// Time between two resets of a link, in milliseconds.
+const FLAP_MS: std::ops::Range<u64> = 30..250;
+/// How long a starved process stands still and runs, in turn, in milliseconds.
+const STARVED_MS: std::ops::Range<u64> = 20..90;
+const RUNNING_MS: std::ops::Range<u64> = 2..20;
 
 /// One fault as it was drawn.
 struct Event {
@@ -189,13 +202,15 @@
     let short = Span::from_ms(rng.random_range(SHORT_MS));
     let long = Span::from_ms(rng.random_range(LONG_MS));
     match fault {
+        Fault::Slow => {
+            machine.server.faults.borrow_mut().slow = rng.random_range(2..30);
+            pause(long).await;
+            machine.server.faults.borrow_mut().slow = 0;
+        }
         Fault::Silent => spoil(machine, short, |faults| faults.silent = true).await,
-        Fault::Shed
-        | Fault::ShedAndCopy
-        | Fault::Garble
-        | Fault::Unproven
-        | Fault::Lose
-        | Fault::Slow => spoil(machine, long, |faults| draw_spoil(fault, rng, faults)).await,
+        Fault::Shed | Fault::ShedAndCopy | Fault::Garble | Fault::Unproven | Fault::Lose => {
+            spoil(machine, long, |faults| draw_spoil(fault, rng, faults)).await;
+        }
         Fault::Crash | Fault::Reuse | Fault::Leave => {
             if machine.server.begin_change() {
                 let changed = change_server(&world, number, fault, rng).await;
@@ -204,6 +219,7 @@
             }
         }
         Fault::Stop => stand_still(machine, long).await,
+        Fault::Starve => starve(machine, long, rng).await,
         Fault::StopAcross => {
             let other = &world.machines[rng.random_range(0..world.machines.len())];
             let late = async {
@@ -219,10 +235,16 @@
             machine.disrupt(long);
             harm(&machine.link_relay, draw_mode(rng), long).await;
         }
+        Fault::Flap => flap(machine, long, rng).await,
         Fault::StoreLink => {
-            machine.disrupt(long);
+            machine.disrupt_store(long);
             harm(&machine.store_relay, draw_mode(rng), long).await;
         }
+        Fault::StoreAway => {
+            let away = Span::from_ms(rng.random_range(AWAY_MS));
+            machine.disrupt_store(away);
+            harm(&machine.store_relay, Mode::Reset, away).await;
+        }
         Fault::Store => {
             let mood = match rng.random_range(0..4) {
                 0 => Mood::Refuses(503),
@@ -266,11 +288,10 @@
             faults.garble = rng.random_range(0.02..0.3);
             faults.garbles.push(Garble::Unproven);
         }
-        Fault::Lose => {
+        _ => {
             faults.lose = rng.random_range(0.02..0.3);
             faults.reset = rng.random();
         }
-        _ => faults.slow = rng.random_range(2..30),
     }
 }
 
@@ -289,6 +310,28 @@
     machine.signal(Signal::CONT);
 }
 
+/// Stops a process and lets it go on, in short turns.
+async fn starve(machine: &Machine, span: Span, rng: &mut ChaCha8Rng) {
+    machine.disrupt(span);
+    let end = Clock.now() + span;
+    while Clock.now() < end {
+        machine.signal(Signal::STOP);
+        pause(Span::from_ms(rng.random_range(STARVED_MS))).await;
+        machine.signal(Signal::CONT);
+        pause(Span::from_ms(rng.random_range(RUNNING_MS))).await;
+    }
+}
+
+/// Resets the links to a node again and again.
+async fn flap(machine: &Machine, span: Span, rng: &mut ChaCha8Rng) {
+    machine.disrupt(span);
+    let end = Clock.now() + span;
+    while Clock.now() < end {
+        machine.link_relay.reset();
+        pause(Span::from_ms(rng.random_range(FLAP_MS))).await;
+    }
+}
+
 async fn harm(relay: &Relay, mode: Mode, span: Span) {
     relay.set(mode);
     pause(span).await;
@@ -297,7 +340,7 @@
 
 async fn harm_store(world: &World, mood: Mood, span: Span) {
     for machine in &world.machines {
-        machine.disrupt(span);
+        machine.disrupt_store(span);
     }
     world.store.set(mood);
     pause(span).await;
--- a/src/soak/record.rs
+++ b/src/soak/record.rs
@@ -27,6 +27,8 @@
     Route,
     Lost,
     Config,
+    /// A request gets neither an answer nor the end of its connection.
+    Unanswered,
     Drain,
     Quota,
     Budget,
@@ -83,7 +85,11 @@
     pub(super) sent: Time,
     /// Whether its connection had carried a request before.
     pub(super) kept: bool,
+    /// Whether it was sent behind another one, without waiting for the answer.
+    pub(super) is_behind: bool,
     pub(super) got: Option<(Time, Got)>,
+    /// Whether a server made the answer.
+    pub(super) sealed: bool,
     pub(super) arrivals: Vec<Arrival>,
 }
 
--- a/src/soak/relay.rs
+++ b/src/soak/relay.rs
@@ -72,6 +72,7 @@
     address: SocketAddr,
     mode: Cell<Mode>,
     changed: Notify,
+    reset: Notify,
     target: RefCell<Option<SocketAddr>>,
 }
 
@@ -81,6 +82,7 @@
             address,
             mode: Cell::default(),
             changed: Notify::new(),
+            reset: Notify::new(),
             target: RefCell::default(),
         })
     }
@@ -94,6 +96,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Resets the present connections; new ones may follow.
+    pub(super) fn reset(&self) {
+        self.reset.notify_waiters();
+    }
+
     /// Starts to accept connections.
     pub(super) async fn start(self: &Rc<Self>, target: SocketAddr) -> Result<()> {
         let listener = TcpListener::bind(self.address).await?;
@@ -141,7 +148,10 @@
 
     async fn until_reset(&self) {
         while self.mode.get() != Mode::Reset {
-            self.changed.notified().await;
+            tokio::select! {
+                () = self.changed.notified() => {}
+                () = self.reset.notified() => return,
+            }
         }
     }
 
