--- a/src/request/suspect.rs
+++ b/src/request/suspect.rs
@@ -43,7 +43,7 @@
 pub const MAX_ENDS: u8 = 2;
 /// How long it is held back before its trial. Upstreams that lost power together take about
 /// as long to return, so that a common request is hardly held back after that.
-const HOLD: Span = Span::from_secs(2);
+const TRIAL_HOLD: Span = Span::from_secs(2);
 /// Time within which the proxies of a pool begin a trial if no other one does.
 const TRIAL_SPREAD: Span = Span::from_secs(1);
 /// How long a request is remembered after the last end.
@@ -189,7 +189,7 @@
             // An end that the call has just seen may not have been reported here yet.
             _ if seen.ends > 0 => Judgement::Held,
             Some(entry) if entry.ends > MAX_ENDS => Judgement::Held,
-            Some(entry) if now >= entry.last + HOLD + self.trial_delay(work) => Judgement::Trial,
+            Some(entry) if now >= entry.last + TRIAL_HOLD + self.trial_delay(work) => Judgement::Trial,
             _ => Judgement::Held,
         }
     }
@@ -251,7 +251,7 @@
         if entry.trial != Some(started) {
             return None;
         }
-        let last = Time::from_ms(now.as_ms().saturating_sub(HOLD.as_ms()));
+        let last = Time::from_ms(now.as_ms().saturating_sub(TRIAL_HOLD.as_ms()));
         self.release(now, work, entry.ends, last)
     }
 
