--- a/src/request/suspect.rs
+++ b/src/request/suspect.rs
@@ -189,7 +189,9 @@
             // An end that the call has just seen may not have been reported here yet.
             _ if seen.ends > 0 => Judgement::Held,
             Some(entry) if entry.ends > MAX_ENDS => Judgement::Held,
-            Some(entry) if now >= entry.last + TRIAL_HOLD + self.trial_delay(work) => Judgement::Trial,
+            Some(entry) if now >= entry.last + TRIAL_HOLD + self.trial_delay(work) => {
+                Judgement::Trial
+            }
             _ => Judgement::Held,
         }
     }
