Take no answer for empty whose head announces a body

Callers got a 200 with an empty body, framed as whole, when an upstream answered with transfer-encoding: identity, or offered an upgrade to websocket beside a content length. Cause: the codec reports no payload for both, and any transfer-encoding counted as framing. Now only chunked does; identity lasts until the close, as the protocol says, and an answer whose body the codec does not follow is a cut one (502).

The tests cut the head of an answer at every byte, for each framing, closed and reset, on both interfaces and through two nodes, and read the result with a parser of their own. All cuts within a head gave 502 before this change too; on the code before it identity_coding and offered_upgrade fail on the product's own interface (200 instead of 502; no whole answer). The test found also that an answer of HTTP/1.0 with content-length: 0 got 502 on the platform, as the codec waits for a body until the close: such an answer is empty.

--- a/src/connection/upstream.rs
+++ b/src/connection/upstream.rs
@@ -269,7 +269,11 @@
         if !framed && !self.allow_close_delimited {
             return Err(End::Cut);
         }
-        let empty = framed && codec.message_type() == h1::MessageType::None;
+        let empty = framed && !announces_body(&answer, &head.method);
+        // The codec takes an answer that offers an upgrade for one without a body.
+        if framed && !empty && codec.message_type() == h1::MessageType::None {
+            return Err(End::Cut);
+        }
         // A second response to `HEAD` looks as if it had a body, so that what follows it
         // could not be found.
         let reuse = sent && framed && codec.keep_alive() && !is_after_stray && method != "HEAD";
@@ -606,11 +610,23 @@
 /// Whether the response head determines where the body ends. Otherwise the close
 /// of the connection does.
 fn is_framed(head: &ResponseHead, method: &str) -> bool {
-    let headers = head.headers();
-    method == "HEAD"
-        || matches!(head.status.as_u16(), 204 | 304)
-        || headers.contains_key("content-length")
-        || headers.contains_key("transfer-encoding")
+    is_bodiless(head, method) || head.headers().contains_key("content-length") || is_chunked(head)
+}
+
+/// Whether the response has no body, whatever its head announces.
+fn is_bodiless(head: &ResponseHead, method: &str) -> bool {
+    method == "HEAD" || matches!(head.status.as_u16(), 204 | 304)
+}
+
+/// Whether a body that is not empty follows the response head.
+fn announces_body(head: &ResponseHead, method: &str) -> bool {
+    let has_length = content_length(head).is_some_and(|length| length > 0);
+    !is_bodiless(head, method) && (has_length || is_chunked(head))
+}
+
+fn is_chunked(head: &ResponseHead) -> bool {
+    let coding = head.headers().get("transfer-encoding");
+    coding.is_some_and(|coding| coding.as_bytes().eq_ignore_ascii_case(b"chunked"))
 }
 
 /// Returns the length of the body of a response that is discarded, if it is known and
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -11,6 +11,8 @@
 mod body;
 #[path = "path/endless.rs"]
 mod endless;
+#[path = "path/head_cut.rs"]
+mod head_cut;
 #[path = "path/header.rs"]
 mod header;
 #[path = "path/limit.rs"]
@@ -19,6 +21,8 @@
 mod link;
 #[path = "path/operator.rs"]
 mod operator;
+#[path = "support/received.rs"]
+mod received;
 #[path = "path/settings.rs"]
 mod settings;
 #[path = "path/stop.rs"]
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -12,6 +12,8 @@
 mod endless;
 #[path = "platform/grace.rs"]
 mod grace;
+#[path = "platform/head_cut.rs"]
+mod head_cut;
 #[path = "platform/heartbeat.rs"]
 mod heartbeat;
 #[path = "platform/late_copy.rs"]
@@ -20,6 +22,8 @@
 mod names;
 #[path = "platform/path.rs"]
 mod path;
+#[path = "support/received.rs"]
+mod received;
 #[path = "platform/site.rs"]
 mod site;
 #[path = "platform/store.rs"]
