Name the listener and address that cannot be bound

What callers saw: a node whose address was in use exited with "Address already in use", which of its six or seven sockets it was had to be found by hand.

Cause: the error of `bind` was passed on as it came, and the operating system does not say the address.

Why it works: all sockets are bound in one place, `Sockets::bind`, which adds the field of the settings, TCP or UDP, and the address, under a number of its own (7002, exit code 7 as before). The listener of callers is bound last, so that an attempt that fails has never let a caller connect.

--- a/src/error.rs
+++ b/src/error.rs
@@ -98,6 +98,8 @@
     Unreachable = 6003, Peer;
     /// The operating system refused something.
     Io = 7001, Io;
+    /// An address to listen on cannot be bound.
+    Bind = 7002, Io;
 }
 
 impl Error {
--- a/src/process/server.rs
+++ b/src/process/server.rs
@@ -4,6 +4,7 @@
     cell::Cell,
     convert::Infallible,
     future::Future,
+    io,
     net::SocketAddr,
     rc::Rc, //
 };
@@ -47,7 +48,11 @@
         door,
     },
     directory, document,
-    error::Result,
+    error::{
+        Code,
+        Error,
+        Result, //
+    },
     export, id,
     interface::Interface,
     links::Links,
@@ -68,7 +73,10 @@
     },
     policy::Policy,
     probe,
-    settings::Settings,
+    settings::{
+        Listen,
+        Settings, //
+    },
     store::Store,
 };
 
@@ -194,9 +202,12 @@
         interface: Interface,
         bounds: Bounds,
     ) -> Result<Self> {
-        let listeners = Listeners::bind(&settings).await?;
-        let (links, socket) = bind_pair(settings.listen.links).await?;
-        let addresses = listeners.addresses(links.local_addr()?)?;
+        let Sockets {
+            listeners,
+            links,
+            datagrams,
+            addresses,
+        } = Sockets::bind(&settings.listen).await?;
         let mut me = identity(&settings, addresses.links);
         if interface.configuration.is_some()
             && let Some(store) = &store
@@ -222,7 +233,7 @@
             });
         }
         core.set_scheduling(settings.scheduling);
-        let carrier = Carrier::new(me, settings, interface, core, socket, store);
+        let carrier = Carrier::new(me, settings, interface, core, datagrams, store);
         let mut server = Self {
             carrier,
             addresses,
@@ -436,16 +447,45 @@
     ready: Option<TcpListener>,
 }
 
+/// Everything that a node listens on, bound but not served yet.
+pub(crate) struct Sockets {
+    listeners: Listeners,
+    links: TcpListener,
+    datagrams: UdpSocket,
+    addresses: Addresses,
+}
+
+impl Sockets {
+    /// Binds every socket, or none.
+    ///
+    /// The listener of callers comes last: while another address is in use, callers
+    /// are refused a connection instead of waiting on one that nobody serves.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the first listener that cannot be bound.
+    pub(crate) async fn bind(listen: &Listen) -> Result<Self> {
+        let (links, datagrams) = bind_pair(listen.links).await?;
+        let listeners = Listeners::bind(listen).await?;
+        let addresses = listeners.addresses(links.local_addr()?)?;
+        Ok(Self {
+            listeners,
+            links,
+            datagrams,
+            addresses,
+        })
+    }
+}
+
 impl Listeners {
-    async fn bind(settings: &Settings) -> Result<Self> {
-        let listen = &settings.listen;
-        let has_service_listener = listen.announcements.is_none();
+    async fn bind(listen: &Listen) -> Result<Self> {
+        let service = listen.announcements.is_none().then_some(listen.service);
         Ok(Self {
-            callers: TcpListener::bind(listen.callers).await?,
-            service: bind_optional(has_service_listener.then_some(listen.service)).await?,
-            operators: TcpListener::bind(listen.operators).await?,
-            announcements: bind_optional(listen.announcements).await?,
-            ready: bind_optional(listen.ready).await?,
+            operators: bind_tcp("operators", listen.operators).await?,
+            announcements: bind_optional("announcements", listen.announcements).await?,
+            ready: bind_optional("ready", listen.ready).await?,
+            service: bind_optional("service", service).await?,
+            callers: bind_tcp("callers", listen.callers).await?,
         })
     }
 
@@ -467,13 +507,24 @@
     Ok(listener.map(TcpListener::local_addr).transpose()?)
 }
 
-async fn bind_optional(address: Option<SocketAddr>) -> Result<Option<TcpListener>> {
+async fn bind_tcp(name: &str, address: SocketAddr) -> Result<TcpListener> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|error| bind_error(name, "TCP", address, &error))
+}
+
+async fn bind_optional(name: &str, address: Option<SocketAddr>) -> Result<Option<TcpListener>> {
     Ok(match address {
-        Some(address) => Some(TcpListener::bind(address).await?),
+        Some(address) => Some(bind_tcp(name, address).await?),
         None => None,
     })
 }
 
+/// Names the listener by its field in the settings.
+fn bind_error(name: &str, protocol: &str, address: SocketAddr, error: &io::Error) -> Error {
+    let reason = format!("cannot bind `{name}` to {protocol} address {address}: {error}");
+    Error::new(Code::Bind, reason)
+}
+
 /// Answers a readiness check.
 async fn readiness(carrier: Rc<Carrier>, request: Request) -> Response<BoxBody> {
     if request.path() != carrier.interface.ready_path {
@@ -553,11 +604,12 @@
     let mut tries = 0;
     loop {
         tries += 1;
-        let links = TcpListener::bind(address).await?;
-        match UdpSocket::bind(links.local_addr()?).await {
+        let links = bind_tcp("links", address).await?;
+        let bound = links.local_addr()?;
+        match UdpSocket::bind(bound).await {
             Ok(socket) => return Ok((links, socket)),
             Err(error) if address.port() != 0 || tries == MAX_BIND_ATTEMPTS => {
-                return Err(error.into());
+                return Err(bind_error("links", "UDP", bound, &error));
             }
             Err(_) => {}
         }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -113,6 +113,9 @@
     let text = GOOD.replacen("127.0.0.1:0", &address, 1);
     let (code, said) = refused(&file("taken.jsonc", &text));
     assert_eq!(code, Some(7), "{said}");
+    let named = format!("cannot bind `callers` to TCP address {address}");
+    assert!(said.contains(&named), "{said}");
+    assert!(said.contains("(code 7002)"), "{said}");
 }
 
 /// An operator changes the limits in the file of settings, and a node of another
