Install signal handlers before anything else, and keep an early SIGHUP

What callers saw: a SIGHUP shortly after the start ended the process, and with it the node. A change of the settings file between two reads at the start was never taken, as the second read alone was remembered.

Cause: the handlers were installed after the command line and the settings had been read, and the settings were read twice, once to parse them and once to compare them with later versions.

Why it works: `node` and the adapter's subcommand start their runtime and take their signals before the command line is parsed. A signal that was received stays pending until it is asked for, so an early SIGHUP makes the node read its settings again as soon as it serves. The text and the settings come from one read.

--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -75,10 +75,13 @@
 /// The width of help texts, in characters.
 const HELP_WIDTH: usize = 100;
 
+/// Subcommands that run until they are told to stop by a signal.
+const SERVING: [&str; 2] = [node::COMMAND, crate::platform::sidecar::COMMAND];
+
 /// Every subcommand, in the order of the help text.
-fn commands() -> Vec<Subcommand> {
+fn commands(runtime: &node::Early) -> Vec<Subcommand> {
     vec![
-        node::parser(),
+        node::parser(runtime.clone()),
         check::parser(),
         apply::parser(),
         get::parser(),
@@ -95,7 +98,7 @@
         demo::parser(),
         measure::parser(),
         platform::parser(),
-        crate::platform::sidecar::parser(),
+        crate::platform::sidecar::parser(runtime.clone()),
         crate::platform::soak::parser(),
     ]
 }
@@ -105,8 +108,8 @@
     choice(commands).boxed()
 }
 
-fn options() -> OptionParser<Job> {
-    one_of(commands())
+fn options(runtime: &node::Early) -> OptionParser<Job> {
+    one_of(commands(runtime))
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("An overload control layer for service call graphs")
@@ -120,7 +123,13 @@
 
 /// Reads the command line and runs it.
 pub fn run() -> ExitCode {
-    match options().run_inner(Args::current_args()) {
+    let command = std::env::args_os().nth(1);
+    // Reading the command line takes long enough for a signal to arrive meanwhile.
+    let runtime = match command.is_some_and(|name| SERVING.iter().any(|own| name == *own)) {
+        true => node::Early::start(),
+        false => node::Early::default(),
+    };
+    match options(&runtime).run_inner(Args::current_args()) {
         Ok(job) => match job() {
             Ok(()) => ExitCode::SUCCESS,
             Err(failure) => ExitCode::from(report(&failure)),
--- a/src/command/node.rs
+++ b/src/command/node.rs
@@ -1,23 +1,20 @@
 //! `node`: one node, until it is told to stop.
 
 use std::{
+    cell::Cell,
     net::SocketAddr,
-    path::{
-        Path,
-        PathBuf, //
-    },
-    rc::Rc,
+    path::PathBuf,
+    rc::Rc, //
 };
 
+use actix_rt::{
+    System,
+    SystemRunner, //
+};
 use bpaf::{
     Parser,
     long, //
 };
-use tokio::signal::unix::{
-    Signal,
-    SignalKind,
-    signal, //
-};
 
 use super::{
     Failure,
@@ -29,7 +26,8 @@
     clock::Span,
     error::{
         Code,
-        Error, //
+        Error,
+        Result, //
     },
     interface::Interface,
     log as lines,
@@ -40,47 +38,85 @@
         Stop, //
     },
     settings::Settings,
+    start::{
+        self,
+        Hangup,
+        Signals, //
+    },
     store::Store,
 };
 
+/// The name of the subcommand.
+pub(super) const COMMAND: &str = "node";
+
 /// Time after which a call to the platform's service counts as lost.
 const STORE_TIMEOUT: Span = Span::from_secs(2);
 
 /// Time between two looks at the file of settings.
 const RELOAD_INTERVAL: Span = Span::from_secs(2);
 
+/// A runtime on which the handlers of the signals are installed.
+struct Runtime {
+    system: SystemRunner,
+    signals: Result<Signals>,
+}
+
+impl Runtime {
+    fn new() -> Self {
+        let system = System::new();
+        let signals = system.block_on(async { Signals::install() });
+        Self { system, signals }
+    }
+}
+
+/// The runtime of a node, if it was started before the command line was read.
+#[derive(Clone, Default)]
+pub(crate) struct Early(Rc<Cell<Option<Runtime>>>);
+
+impl Early {
+    /// Installs the handlers of the signals at once.
+    pub(super) fn start() -> Self {
+        Self(Rc::new(Cell::new(Some(Runtime::new()))))
+    }
+
+    fn take(&self) -> Runtime {
+        self.0.take().unwrap_or_else(Runtime::new)
+    }
+}
+
 /// Reads `node --settings FILE`.
-pub(super) fn parser() -> Subcommand {
+pub(super) fn parser(runtime: Early) -> Subcommand {
     long("settings")
         .help("The node's settings, in JSON with comments")
         .argument::<PathBuf>("FILE")
-        .map(|file| -> Job { Box::new(move || run(&file)) })
+        .map(move |file| -> Job {
+            let runtime = runtime.clone();
+            Box::new(move || run(file, &runtime))
+        })
         .to_options()
         .descr("Run a node beside an upstream instance")
         .footer(
             "SIGTERM, SIGINT and an operator's drain stop it gracefully. It exits with 0 when \
              nothing was cut, and with 1 when the pool's drain time was over first",
         )
-        .command("node")
+        .command(COMMAND)
         .boxed()
 }
 
-fn run(file: &Path) -> Result<(), Failure> {
-    serve_node(Start {
-        file: file.to_owned(),
-        settings: Settings::load(file)?,
+fn run(file: PathBuf, runtime: &Early) -> Result<(), Failure> {
+    let start = Start {
+        file,
         interface: Interface::own(),
         bounds: |_| Bounds::default(),
         store: |address| Rc::new(Client::new(address, STORE_TIMEOUT)) as Rc<dyn Store>,
-    })
+    };
+    serve_node(start, runtime)
 }
 
 /// What a node is started with.
 pub(crate) struct Start {
-    /// Where its settings came from.
+    /// Where its settings are read from.
     pub(crate) file: PathBuf,
-    /// Its settings.
-    pub(crate) settings: Settings,
     /// Its surroundings.
     pub(crate) interface: Interface,
     /// Reads the bounds that hold for the fleet.
@@ -90,21 +126,26 @@
 }
 
 /// Runs a node until it is told to stop.
-pub(crate) fn serve_node(start: Start) -> Result<(), Failure> {
+pub(crate) fn serve_node(start: Start, runtime: &Early) -> Result<(), Failure> {
+    let Runtime { system, signals } = runtime.take();
     lines::init();
-    let served = actix_rt::System::new().block_on(serve(start));
+    let served = match signals {
+        Ok(signals) => system.block_on(serve(start, signals)),
+        Err(error) => Err(error.into()),
+    };
     lines::flush();
     served
 }
 
-async fn serve(start: Start) -> Result<(), Failure> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let hangup = signal(SignalKind::hangup())?;
-    let store = start.settings.platform.map(start.store);
-    let text = std::fs::read_to_string(&start.file).unwrap_or_default();
-    let bounds = (start.bounds)(&start.settings);
-    let server = Server::start_in(start.settings, store, start.interface, bounds).await?;
+async fn serve(start: Start, signals: Signals) -> Result<(), Failure> {
+    let Signals {
+        mut terminate,
+        hangup,
+    } = signals;
+    let (text, settings) = start::read(&start.file)?;
+    let store = settings.platform.map(start.store);
+    let bounds = (start.bounds)(&settings);
+    let server = Server::start_in(settings, store, start.interface, bounds).await?;
     log::info!(
         instance:% = server.peer().instance,
         callers:% = server.addresses().callers,
@@ -119,10 +160,7 @@
     };
     actix_rt::spawn(reload(file, handle.clone(), hangup));
     actix_rt::spawn(async move {
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
+        terminate.received().await;
         log::info!("told to stop; the node drains");
         handle.drain();
     });
@@ -144,9 +182,9 @@
 
 /// Looks at the settings when told to, and now and then without being told: the
 /// file may change without a signal. A file that is wrong changes nothing.
-async fn reload(mut file: File, handle: Handle, mut hangup: Signal) {
+async fn reload(mut file: File, handle: Handle, mut hangup: Hangup) {
     loop {
-        let _ = tokio::time::timeout(RELOAD_INTERVAL.to_std(), hangup.recv()).await;
+        let _ = tokio::time::timeout(RELOAD_INTERVAL.to_std(), hangup.received()).await;
         let Ok(now) = std::fs::read_to_string(&file.path) else {
             continue;
         };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -104,7 +104,8 @@
         export,
         intake,
         links,
-        probe, //
+        probe,
+        start, //
     },
     request::pending,
     version::source,
--- /dev/null
+++ b/tests/start/process.rs
@@ -0,0 +1,170 @@
+//! A node as a process, its settings and its log.
+
+use std::{
+    fs,
+    io::{
+        BufRead,
+        BufReader,
+        Read, //
+    },
+    net::TcpListener,
+    path::{
+        Path,
+        PathBuf, //
+    },
+    process::{
+        Child,
+        Command,
+        ExitStatus,
+        Stdio, //
+    },
+    sync::mpsc::{
+        Receiver,
+        channel, //
+    },
+    thread,
+    time::Duration,
+};
+
+use rustix::process::{
+    Pid,
+    Signal,
+    kill_process, //
+};
+use serde_json::{
+    Value,
+    json, //
+};
+
+/// Maximum time to wait for an event.
+pub const EVENT_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Settings of a node on free ports of an address that only this test uses.
+pub struct Site {
+    pub path: PathBuf,
+    pub settings: Value,
+}
+
+impl Site {
+    /// The settings of a node on `host`. The file does not exist yet.
+    pub fn new(name: &str, host: &str) -> Self {
+        let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("start-{name}.jsonc"));
+        let _ = fs::remove_file(&path);
+        let fields = ["callers", "service", "links", "operators", "ready"];
+        let mut listen = serde_json::Map::new();
+        let held: Vec<_> = fields.map(|_| free(host)).into();
+        for (field, listener) in fields.iter().zip(&held) {
+            let address = listener.local_addr().expect("an address").to_string();
+            listen.insert((*field).to_owned(), address.into());
+        }
+        let settings = json!({
+            "instance": "alone", "domain": "a", "pool": "registry",
+            "listen": listen,
+            "upstream": "127.0.0.1:1",
+            "secrets": ["a secret of the fleet"],
+            "operators_token": "a token of operators",
+        });
+        Self { path, settings }
+    }
+
+    pub fn text(&self) -> String {
+        self.settings.to_string()
+    }
+}
+
+/// A listener on a free port.
+pub fn free(host: &str) -> TcpListener {
+    TcpListener::bind((host, 0)).expect("a free port")
+}
+
+/// A process, which ends with its owner.
+pub struct Node {
+    child: Child,
+    lines: Receiver<Value>,
+}
+
+/// How a node ended.
+pub struct Ended {
+    pub status: ExitStatus,
+}
+
+impl Node {
+    pub fn start(settings: &Path) -> Self {
+        Self::start_with(settings, &[])
+    }
+
+    pub fn start_with(settings: &Path, arguments: &[&str]) -> Self {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_bluebellswitch"))
+            .arg("node")
+            .arg("--settings")
+            .arg(settings)
+            .args(arguments)
+            .env_remove("RUST_LOG")
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("started");
+        let stdout = child.stdout.take().expect("piped");
+        let (sender, lines) = channel();
+        thread::spawn(move || {
+            for line in BufReader::new(stdout).lines() {
+                let line = line.expect("text");
+                let value = serde_json::from_str(&line).expect("a JSON line");
+                let _ = sender.send(value);
+            }
+        });
+        Self { child, lines }
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).expect("signalled");
+    }
+
+    /// Waits for a line of the log that contains `part`.
+    pub fn logs(&mut self, part: &str) -> Value {
+        let mut before = Vec::new();
+        loop {
+            let Ok(line) = self.lines.recv_timeout(EVENT_TIMEOUT) else {
+                let stderr = self.stderr_if_ended();
+                panic!("no line with `{part}` after {before:?}; {stderr}");
+            };
+            if message(&line).contains(part) {
+                return line;
+            }
+            before.push(line);
+        }
+    }
+
+    fn stderr_if_ended(&mut self) -> String {
+        match self.child.try_wait().expect("a child") {
+            Some(status) => format!("{status}: {}", self.stderr()),
+            None => "it still runs".to_owned(),
+        }
+    }
+
+    fn stderr(&mut self) -> String {
+        let mut text = String::new();
+        let stderr = self.child.stderr.as_mut().expect("piped");
+        stderr.read_to_string(&mut text).expect("text");
+        text
+    }
+
+    /// Waits until the process has ended.
+    pub fn ended(mut self) -> Ended {
+        while self.lines.recv_timeout(EVENT_TIMEOUT).is_ok() {}
+        let status = self.child.try_wait().expect("a child");
+        let status = status.unwrap_or_else(|| self.child.wait().expect("ended"));
+        Ended { status }
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+pub fn message(line: &Value) -> &str {
+    line["message"].as_str().expect("a message")
+}
