Wait at the start for settings that are not valid yet and addresses in use

What callers saw: a node did not start. It exited with 7 at once if one of its addresses was in use, also by a predecessor that still drained or as the local port of an outgoing connection, and with 3 or 7 if its settings file was empty, half written or missing for a moment.

Cause: the start took one look at what it cannot choose, and trusted it.

Evidence: tests/start.rs, real processes.

Why it works: `start::Starting` attempts to start until it has valid settings and all sockets, with backoff of at most 250 ms and up to `--start-timeout`; only `start::Prepared`, which has both, can serve. Each attempt reads the file again, so a correction of the file, with or without SIGHUP, also ends the wait for an address. An attempt binds all sockets or none, callers last: a client of a waiting node is refused a connection at once instead of waiting for one that nobody serves. Every error is waited for, as all of them can pass when the file or the machine is corrected; the reason is logged when the wait begins. SIGTERM and SIGINT end the wait with 0. Errors that end the process are logged on standard output too; exit codes stay as they were.

--- a/src/command/node.rs
+++ b/src/command/node.rs
@@ -13,6 +13,7 @@
 };
 use bpaf::{
     Parser,
+    construct,
     long, //
 };
 
@@ -39,9 +40,10 @@
     },
     settings::Settings,
     start::{
-        self,
         Hangup,
-        Signals, //
+        Prepared,
+        Signals,
+        Starting, //
     },
     store::Store,
 };
@@ -55,6 +57,10 @@
 /// Time between two looks at the file of settings.
 const RELOAD_INTERVAL: Span = Span::from_secs(2);
 
+/// Time that a node waits for its settings and addresses, unless told otherwise.
+/// Exceeds the drain time of a predecessor on the same addresses.
+const START_TIMEOUT: Span = Span::from_secs(120);
+
 /// A runtime on which the handlers of the signals are installed.
 struct Runtime {
     system: SystemRunner,
@@ -86,12 +92,14 @@
 
 /// Reads `node --settings FILE`.
 pub(super) fn parser(runtime: Early) -> Subcommand {
-    long("settings")
+    let file = long("settings")
         .help("The node's settings, in JSON with comments")
-        .argument::<PathBuf>("FILE")
-        .map(move |file| -> Job {
+        .argument::<PathBuf>("FILE");
+    let timeout = start_timeout();
+    construct!(timeout, file)
+        .map(move |(timeout, file)| -> Job {
             let runtime = runtime.clone();
-            Box::new(move || run(file, &runtime))
+            Box::new(move || run(file, timeout, &runtime))
         })
         .to_options()
         .descr("Run a node beside an upstream instance")
@@ -103,9 +111,19 @@
         .boxed()
 }
 
-fn run(file: PathBuf, runtime: &Early) -> Result<(), Failure> {
+/// Reads `--start-timeout TIME`.
+pub(crate) fn start_timeout() -> impl Parser<Span> {
+    long("start-timeout")
+        .help("How long to wait for valid settings and for addresses that are in use")
+        .argument::<Span>("TIME")
+        .fallback(START_TIMEOUT)
+        .display_fallback()
+}
+
+fn run(file: PathBuf, timeout: Span, runtime: &Early) -> Result<(), Failure> {
     let start = Start {
         file,
+        timeout,
         interface: Interface::own(),
         bounds: |_| Bounds::default(),
         store: |address| Rc::new(Client::new(address, STORE_TIMEOUT)) as Rc<dyn Store>,
@@ -117,6 +135,8 @@
 pub(crate) struct Start {
     /// Where its settings are read from.
     pub(crate) file: PathBuf,
+    /// How long it waits for its settings and addresses.
+    pub(crate) timeout: Span,
     /// Its surroundings.
     pub(crate) interface: Interface,
     /// Reads the bounds that hold for the fleet.
@@ -133,19 +153,33 @@
         Ok(signals) => system.block_on(serve(start, signals)),
         Err(error) => Err(error.into()),
     };
+    if let Err(Failure(errors)) = &served {
+        for error in errors {
+            log::error!(code = error.number(); "the node ends: {error}");
+        }
+    }
     lines::flush();
     served
 }
 
 async fn serve(start: Start, signals: Signals) -> Result<(), Failure> {
-    let Signals {
+    log::info!(file:% = start.file.display(); "the node starts");
+    let starting = Starting::new(signals, start.file, start.timeout);
+    let Some(prepared) = starting.prepare().await? else {
+        log::info!("told to stop before the node served");
+        return Ok(());
+    };
+    let Prepared {
         mut terminate,
         hangup,
-    } = signals;
-    let (text, settings) = start::read(&start.file)?;
+        path,
+        text,
+        settings,
+        sockets,
+    } = prepared;
     let store = settings.platform.map(start.store);
     let bounds = (start.bounds)(&settings);
-    let server = Server::start_in(settings, store, start.interface, bounds).await?;
+    let server = Server::start_on(sockets, settings, store, start.interface, bounds).await;
     log::info!(
         instance:% = server.peer().instance,
         callers:% = server.addresses().callers,
@@ -154,7 +188,7 @@
     );
     let handle = server.handle();
     let file = File {
-        path: start.file,
+        path,
         text,
         bounds: start.bounds,
     };
@@ -165,7 +199,10 @@
         handle.drain();
     });
     match server.wait().await {
-        Stop::Clean => Ok(()),
+        Stop::Clean => {
+            log::info!("the node has stopped");
+            Ok(())
+        }
         Stop::Cut => {
             let reason = "the drain time was over before every request had ended";
             Err(Error::new(Code::Broken, reason).into())
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -64,6 +64,7 @@
         quota,
         server,
         settings,
+        start,
         store, //
     },
     request::{
@@ -104,8 +105,7 @@
         export,
         intake,
         links,
-        probe,
-        start, //
+        probe, //
     },
     request::pending,
     version::source,
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -24,5 +24,5 @@
 pub(crate) mod relay;
 pub mod server;
 pub mod settings;
-pub(crate) mod start;
+pub mod start;
 pub mod store;
--- a/src/process/server.rs
+++ b/src/process/server.rs
@@ -202,12 +202,24 @@
         interface: Interface,
         bounds: Bounds,
     ) -> Result<Self> {
+        let sockets = Sockets::bind(&settings.listen).await?;
+        Ok(Self::start_on(sockets, settings, store, interface, bounds).await)
+    }
+
+    /// Like [`Server::start_in`], on sockets that are bound already.
+    pub(crate) async fn start_on(
+        sockets: Sockets,
+        settings: Settings,
+        store: Option<Rc<dyn Store>>,
+        interface: Interface,
+        bounds: Bounds,
+    ) -> Self {
         let Sockets {
             listeners,
             links,
             datagrams,
             addresses,
-        } = Sockets::bind(&settings.listen).await?;
+        } = sockets;
         let mut me = identity(&settings, addresses.links);
         if interface.configuration.is_some()
             && let Some(store) = &store
@@ -241,7 +253,7 @@
             tasks: Vec::new(),
         };
         server.spawn_tasks(listeners, links).await;
-        Ok(server)
+        server
     }
 
     async fn spawn_tasks(&mut self, listeners: Listeners, links: TcpListener) {
--- /dev/null
+++ b/tests/start/socket.rs
@@ -0,0 +1,143 @@
+//! Addresses that are in use when a node starts.
+
+use std::net::{
+    SocketAddr,
+    TcpListener,
+    TcpStream,
+    UdpSocket, //
+};
+
+use rustix::process::Signal;
+
+use crate::process::{
+    Node,
+    Site,
+    free,
+    last_error,
+    message, //
+};
+
+/// Who has an address.
+#[derive(Clone, Copy)]
+enum Holder {
+    Listener,
+    Datagrams,
+    Connection,
+}
+
+/// Holds its address until it is dropped.
+#[expect(dead_code, reason = "the sockets are held, not used")]
+enum Held {
+    Listener(TcpListener),
+    Datagrams(UdpSocket),
+    Connection(TcpStream, TcpListener),
+}
+
+impl Holder {
+    /// Takes the address of a listener in the settings. That of a connection is
+    /// assigned by the system, and the settings follow.
+    fn hold(self, site: &mut Site, field: &str) -> Held {
+        match self {
+            Self::Listener => Held::Listener(TcpListener::bind(site.address(field)).expect("free")),
+            Self::Datagrams => Held::Datagrams(UdpSocket::bind(site.address(field)).expect("free")),
+            Self::Connection => {
+                let peer = free(&site.address(field).ip().to_string());
+                let stream = TcpStream::connect(peer.local_addr().expect("an address"));
+                let stream = stream.expect("connected");
+                let address = stream.local_addr().expect("an address").to_string();
+                site.settings["listen"][field] = address.into();
+                Held::Connection(stream, peer)
+            }
+        }
+    }
+}
+
+/// A site of which all listeners of `node` are in use, but one.
+fn site(name: &str, host: &str, field: &str) -> Site {
+    let mut site = Site::new(name, host);
+    if field == "announcements" {
+        let address = free(host).local_addr().expect("an address").to_string();
+        site.settings["listen"][field] = address.into();
+    }
+    site
+}
+
+/// Guards against a node that exits because an address is still in use, and against
+/// an error that does not name it.
+fn waits(host: &str, field: &str, holder: Holder) {
+    let mut site = site(&format!("address-{host}"), host, field);
+    let held = holder.hold(&mut site, field);
+    let address = site.address(field);
+    let mut node = Node::start(&site.write().path);
+    let line = node.logs("the node cannot start yet");
+    let protocol = match holder {
+        Holder::Datagrams => "UDP",
+        Holder::Listener | Holder::Connection => "TCP",
+    };
+    let named = format!("cannot bind `{field}` to {protocol} address {address}");
+    assert!(message(&line).contains(&named), "{line}");
+    assert_eq!(line["code"], 7002);
+    if field != "callers" {
+        refuses(site.address("callers"));
+    }
+    drop(held);
+    node.logs("all addresses are bound now");
+    node.logs("the node listens");
+    TcpStream::connect(site.address("callers")).expect("served");
+    node.signal(Signal::TERM);
+    assert_eq!(node.ended().status.code(), Some(0));
+}
+
+/// A connection to a node that cannot serve it is refused, and does not wait.
+fn refuses(callers: SocketAddr) {
+    let error = TcpStream::connect(callers).expect_err("refused");
+    assert_eq!(error.kind(), std::io::ErrorKind::ConnectionRefused);
+}
+
+cases! { waits:
+    address_of_callers_is_waited_for => ("127.63.3.1", "callers", Holder::Listener),
+    address_of_the_service_is_waited_for => ("127.63.3.2", "service", Holder::Listener),
+    address_of_links_is_waited_for => ("127.63.3.3", "links", Holder::Listener),
+    address_of_datagrams_is_waited_for => ("127.63.3.4", "links", Holder::Datagrams),
+    address_of_operators_is_waited_for => ("127.63.3.5", "operators", Holder::Listener),
+    address_of_announcements_is_waited_for => ("127.63.3.6", "announcements", Holder::Listener),
+    address_of_readiness_is_waited_for => ("127.63.3.7", "ready", Holder::Listener),
+    address_of_an_outgoing_connection_is_waited_for =>
+        ("127.63.3.8", "callers", Holder::Connection),
+}
+
+/// Guards against an exit whose error does not name the address.
+#[test]
+fn address_in_use_is_an_error_in_the_end() {
+    let site = Site::new("address-for-good", "127.63.4.1");
+    let address = site.address("operators");
+    let _held = TcpListener::bind(address).expect("free");
+    let node = Node::start_with(&site.write().path, &["--start-timeout", "300ms"]);
+    let ended = node.ended();
+    assert_eq!(ended.status.code(), Some(7), "{}", ended.stderr);
+    let named = format!("cannot bind `operators` to TCP address {address}");
+    assert!(ended.stderr.contains(&named), "{}", ended.stderr);
+    assert!(ended.stderr.contains("(code 7002)"), "{}", ended.stderr);
+    assert!(message(last_error(&ended.log)).contains(&named));
+}
+
+/// Guards against a node that waits for an address which its settings no longer hold.
+#[test]
+fn corrected_address_ends_the_wait() {
+    let mut site = Site::new("address-corrected", "127.63.4.2");
+    // Not an address of this machine.
+    site.settings["listen"]["operators"] = "192.0.2.1:4700".into();
+    let mut node = Node::start(&site.write().path);
+    let line = node.logs("the node cannot start yet");
+    assert!(
+        message(&line).contains("TCP address 192.0.2.1:4700"),
+        "{line}"
+    );
+    let address = free("127.63.4.2").local_addr().expect("an address");
+    site.settings["listen"]["operators"] = address.to_string().into();
+    site.write();
+    node.signal(Signal::HUP);
+    node.logs("the node listens");
+    node.signal(Signal::TERM);
+    assert_eq!(node.ended().status.code(), Some(0));
+}
