Do not overflow on the incarnation of a node's previous record

What callers saw: a node of a debug build ended at each start with "attempt to add with overflow" once its record held the highest incarnation. A release build wrapped to zero and went on.

Cause: the next incarnation was `previous + 1`, unchecked, of a figure that anyone who writes to the store can set.

Evidence: highest_incarnation_does_not_end_the_start panics at src/process/server.rs:228 without the change.

Why it works: where no higher incarnation exists, the node keeps the one of its clock, as a release build did. That its peers believe the record is another fault.

--- a/src/process/server.rs
+++ b/src/process/server.rs
@@ -224,8 +224,9 @@
         if interface.configuration.is_some()
             && let Some(store) = &store
             && let Some(previous) = directory::previous_incarnation(&**store, &me.instance).await
+            && let Some(next) = previous.0.checked_add(1)
         {
-            me.incarnation = me.incarnation.max(id::Incarnation(previous.0 + 1));
+            me.incarnation = me.incarnation.max(id::Incarnation(next));
         }
         let mut core = Core::new(Identity {
             peer: me.clone(),
--- a/tests/start.rs
+++ b/tests/start.rs
@@ -6,6 +6,8 @@
 
 #[path = "start/process.rs"]
 mod process;
+#[path = "start/record.rs"]
+mod record;
 #[path = "start/retry.rs"]
 mod retry;
 #[path = "start/settings.rs"]
