Give the connection of a start test a source address of its own

The connection had a port of 127.0.0.1, which the connections of other processes may share, and the end that closed first kept its address in TIME-WAIT. The connection now starts at an address of this test, and its peer closes first.

--- a/tests/start/socket.rs
+++ b/tests/start/socket.rs
@@ -1,13 +1,17 @@
 //! Addresses that are in use when a node starts.
 
-use std::net::{
-    SocketAddr,
-    TcpListener,
-    TcpStream,
-    UdpSocket, //
+use std::{
+    io::Read,
+    net::{
+        SocketAddr,
+        TcpListener,
+        TcpStream,
+        UdpSocket, //
+    },
 };
 
 use rustix::process::Signal;
+use tokio::net::TcpSocket;
 
 use crate::process::{
     Node,
@@ -25,12 +29,26 @@
     Connection,
 }
 
-/// Holds its address until it is dropped.
-#[expect(dead_code, reason = "the sockets are held, not used")]
+/// What holds an address.
 enum Held {
     Listener(TcpListener),
     Datagrams(UdpSocket),
-    Connection(TcpStream, TcpListener),
+    Connection(TcpStream, TcpStream),
+}
+
+impl Held {
+    /// Frees the address. The peer of a connection closes first: the end that does
+    /// keeps its address for as long as a late segment may arrive.
+    fn free(self) {
+        match self {
+            Self::Listener(listener) => drop(listener),
+            Self::Datagrams(socket) => drop(socket),
+            Self::Connection(mut stream, peer) => {
+                drop(peer);
+                assert_eq!(stream.read(&mut [0]).expect("closed"), 0);
+            }
+        }
+    }
 }
 
 impl Holder {
@@ -41,9 +59,9 @@
             Self::Listener => Held::Listener(TcpListener::bind(site.address(field)).expect("free")),
             Self::Datagrams => Held::Datagrams(UdpSocket::bind(site.address(field)).expect("free")),
             Self::Connection => {
-                let peer = free(&site.address(field).ip().to_string());
-                let stream = TcpStream::connect(peer.local_addr().expect("an address"));
-                let stream = stream.expect("connected");
+                let listener = free(&site.address(field).ip().to_string());
+                let stream = connect(&listener);
+                let (peer, _) = listener.accept().expect("accepted");
                 let address = stream.local_addr().expect("an address").to_string();
                 site.settings["listen"][field] = address.into();
                 Held::Connection(stream, peer)
@@ -52,7 +70,22 @@
     }
 }
 
-/// A site of which all listeners of `node` are in use, but one.
+/// Connects to a listener from a free port of its own address, where no other process
+/// has a connection on the same port.
+fn connect(listener: &TcpListener) -> TcpStream {
+    let peer = listener.local_addr().expect("an address");
+    let stream = actix_rt::System::new().block_on(async {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        let source = SocketAddr::new(peer.ip(), 0);
+        socket.bind(source).expect("a free port");
+        let stream = socket.connect(peer).await.expect("connected");
+        stream.into_std().expect("a socket")
+    });
+    stream.set_nonblocking(false).expect("set");
+    stream
+}
+
+/// A site that has the listener `field`.
 fn site(name: &str, host: &str, field: &str) -> Site {
     let mut site = Site::new(name, host);
     if field == "announcements" {
@@ -80,7 +113,7 @@
     if field != "callers" {
         refuses(site.address("callers"));
     }
-    drop(held);
+    held.free();
     node.logs("all addresses are bound now");
     node.logs("the node listens");
     TcpStream::connect(site.address("callers")).expect("served");
