--- a/src/command/node.rs
+++ b/src/command/node.rs
@@ -1,23 +1,21 @@
 //! `node`: one node, until it is told to stop.
 
 use std::{
+    cell::Cell,
     net::SocketAddr,
-    path::{
-        Path,
-        PathBuf, //
-    },
-    rc::Rc,
+    path::PathBuf,
+    rc::Rc, //
 };
 
+use actix_rt::{
+    System,
+    SystemRunner, //
+};
 use bpaf::{
     Parser,
+    construct,
     long, //
 };
-use tokio::signal::unix::{
-    Signal,
-    SignalKind,
-    signal, //
-};
 
 use super::{
     Failure,
@@ -29,7 +27,8 @@
     clock::Span,
     error::{
         Code,
-        Error, //
+        Error,
+        Result, //
     },
     interface::Interface,
     log as lines,
@@ -40,47 +39,104 @@
         Stop, //
     },
     settings::Settings,
+    start::{
+        Hangup,
+        Prepared,
+        Signals,
+        Starting, //
+    },
     store::Store,
 };
 
+/// The name of the subcommand.
+pub(super) const COMMAND: &str = "node";
+
 /// Time after which a call to the platform's service counts as lost.
 const STORE_TIMEOUT: Span = Span::from_secs(2);
 
 /// Time between two looks at the file of settings.
 const RELOAD_INTERVAL: Span = Span::from_secs(2);
 
+/// Time that a node waits for its settings and addresses, unless told otherwise.
+/// Exceeds the drain time of a predecessor on the same addresses.
+const START_TIMEOUT: Span = Span::from_secs(120);
+
+/// A runtime on which the handlers of the signals are installed.
+struct Runtime {
+    system: SystemRunner,
+    signals: Result<Signals>,
+}
+
+impl Runtime {
+    fn new() -> Self {
+        let system = System::new();
+        let signals = system.block_on(async { Signals::install() });
+        Self { system, signals }
+    }
+}
+
+/// The runtime of a node, if it was started before the command line was read.
+#[derive(Clone, Default)]
+pub(crate) struct Early(Rc<Cell<Option<Runtime>>>);
+
+impl Early {
+    /// Installs the handlers of the signals at once.
+    pub(super) fn start() -> Self {
+        Self(Rc::new(Cell::new(Some(Runtime::new()))))
+    }
+
+    fn take(&self) -> Runtime {
+        self.0.take().unwrap_or_else(Runtime::new)
+    }
+}
+
 /// Reads `node --settings FILE`.
-pub(super) fn parser() -> Subcommand {
-    long("settings")
+pub(super) fn parser(runtime: Early) -> Subcommand {
+    let file = long("settings")
         .help("The node's settings, in JSON with comments")
-        .argument::<PathBuf>("FILE")
-        .map(|file| -> Job { Box::new(move || run(&file)) })
+        .argument::<PathBuf>("FILE");
+    let timeout = start_timeout();
+    construct!(timeout, file)
+        .map(move |(timeout, file)| -> Job {
+            let runtime = runtime.clone();
+            Box::new(move || run(file, timeout, &runtime))
+        })
         .to_options()
         .descr("Run a node beside an upstream instance")
         .footer(
             "SIGTERM, SIGINT and an operator's drain stop it gracefully. It exits with 0 when \
              nothing was cut, and with 1 when the pool's drain time was over first",
         )
-        .command("node")
+        .command(COMMAND)
         .boxed()
 }
 
-fn run(file: &Path) -> Result<(), Failure> {
-    serve_node(Start {
-        file: file.to_owned(),
-        settings: Settings::load(file)?,
+/// Reads `--start-timeout TIME`.
+pub(crate) fn start_timeout() -> impl Parser<Span> {
+    long("start-timeout")
+        .help("How long to wait for valid settings and for addresses that are in use")
+        .argument::<Span>("TIME")
+        .fallback(START_TIMEOUT)
+        .display_fallback()
+}
+
+fn run(file: PathBuf, timeout: Span, runtime: &Early) -> Result<(), Failure> {
+    let start = Start {
+        file,
+        timeout,
         interface: Interface::own(),
         bounds: |_| Bounds::default(),
         store: |address| Rc::new(Client::new(address, STORE_TIMEOUT)) as Rc<dyn Store>,
-    })
+    };
+    serve_node(start, runtime)
 }
 
 /// What a node is started with.
 pub(crate) struct Start {
-    /// Where its settings came from.
+    /// Where its settings are read from.
     pub(crate) file: PathBuf,
-    /// Its settings.
-    pub(crate) settings: Settings,
+    /// How long it waits for its settings and addresses.
+    pub(crate) timeout: Span,
     /// Its surroundings.
     pub(crate) interface: Interface,
     /// Reads the bounds that hold for the fleet.
@@ -90,21 +146,40 @@
 }
 
 /// Runs a node until it is told to stop.
-pub(crate) fn serve_node(start: Start) -> Result<(), Failure> {
+pub(crate) fn serve_node(start: Start, runtime: &Early) -> Result<(), Failure> {
+    let Runtime { system, signals } = runtime.take();
     lines::init();
-    let served = actix_rt::System::new().block_on(serve(start));
+    let served = match signals {
+        Ok(signals) => system.block_on(serve(start, signals)),
+        Err(error) => Err(error.into()),
+    };
+    if let Err(Failure(errors)) = &served {
+        for error in errors {
+            log::error!(code = error.number(); "the node ends: {error}");
+        }
+    }
     lines::flush();
     served
 }
 
-async fn serve(start: Start) -> Result<(), Failure> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let hangup = signal(SignalKind::hangup())?;
-    let store = start.settings.platform.map(start.store);
-    let text = std::fs::read_to_string(&start.file).unwrap_or_default();
-    let bounds = (start.bounds)(&start.settings);
-    let server = Server::start_in(start.settings, store, start.interface, bounds).await?;
+async fn serve(start: Start, signals: Signals) -> Result<(), Failure> {
+    log::info!(file:% = start.file.display(); "the node starts");
+    let starting = Starting::new(signals, start.file, start.timeout);
+    let Some(prepared) = starting.prepare().await? else {
+        log::info!("told to stop before the node served");
+        return Ok(());
+    };
+    let Prepared {
+        mut terminate,
+        hangup,
+        path,
+        text,
+        settings,
+        sockets,
+    } = prepared;
+    let store = settings.platform.map(start.store);
+    let bounds = (start.bounds)(&settings);
+    let server = Server::start_on(sockets, settings, store, start.interface, bounds).await;
     log::info!(
         instance:% = server.peer().instance,
         callers:% = server.addresses().callers,
@@ -113,21 +188,21 @@
     );
     let handle = server.handle();
     let file = File {
-        path: start.file,
+        path,
         text,
         bounds: start.bounds,
     };
     actix_rt::spawn(reload(file, handle.clone(), hangup));
     actix_rt::spawn(async move {
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
+        terminate.received().await;
         log::info!("told to stop; the node drains");
         handle.drain();
     });
     match server.wait().await {
-        Stop::Clean => Ok(()),
+        Stop::Clean => {
+            log::info!("the node has stopped");
+            Ok(())
+        }
         Stop::Cut => {
             let reason = "the drain time was over before every request had ended";
             Err(Error::new(Code::Broken, reason).into())
@@ -144,9 +219,9 @@
 
 /// Looks at the settings when told to, and now and then without being told: the
 /// file may change without a signal. A file that is wrong changes nothing.
-async fn reload(mut file: File, handle: Handle, mut hangup: Signal) {
+async fn reload(mut file: File, handle: Handle, mut hangup: Hangup) {
     loop {
-        let _ = tokio::time::timeout(RELOAD_INTERVAL.to_std(), hangup.recv()).await;
+        let _ = tokio::time::timeout(RELOAD_INTERVAL.to_std(), hangup.received()).await;
         let Ok(now) = std::fs::read_to_string(&file.path) else {
             continue;
         };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -64,6 +64,7 @@
         quota,
         server,
         settings,
+        start,
         store, //
     },
     request::{
