Leave rows of unknown types unparsed, and bound the figures of the configuration

Operators saw a new configuration refused as a whole when a row of a type that nobody reads held a number out of range, deep nesting, or no `spec`: `spec` and `metadata` were parsed as values before the type was looked at. Figures were converted without a check: a negative time-out became a deadline of 0, a negative rate no limit at all, a version of 2^64-1 left every later version "older", a weight of 1e300 was cut to another ratio.

Rows are borrowed as raw text now and parsed only if their type is known. A row of a known type that cannot be read still refuses the version, so that a partial one is never applied; the last good one stays in force.

--- a/tests/platform/config.rs
+++ b/tests/platform/config.rs
@@ -11,6 +11,7 @@
         config, //
     },
 };
+use proptest::prelude::*;
 use serde_json::{
     Value,
     json, //
@@ -161,6 +162,124 @@
     below_zero => (|rows| rows[0]["spec"]["traffic_split"][0]["weight"] = (-1).into(), "weight"),
     odd_name => (|rows| rows[3]["metadata"]["name"] = "a b".into(), "a b"),
     odd_type => (|rows| rows[4]["spec"]["max_body_bytes"] = "much".into(), "limits"),
+    no_time => (|rows| rows[1]["spec"]["timeout_ms"] = 0.into(), "r-issue"),
+    negative_time => (|rows| rows[1]["spec"]["timeout_ms"] = (-5).into(), "r-issue"),
+    negative_target => (|rows| rows[1]["spec"]["target_latency_ms"] = (-1e300).into(), "r-issue"),
+    negative_rate => (|rows| rows[3]["spec"]["rate_per_s"] = (-1).into(), "mill"),
+    negative_burst => (|rows| rows[3]["spec"]["burst"] = (-1).into(), "mill"),
+    negative_warmup => (|rows| rows[2]["spec"]["warmup_s"] = (-1).into(), "old"),
+    huge_weight => (|rows| rows[0]["spec"]["traffic_split"][0]["weight"] = 1e300.into(), "weight"),
+    no_body => (|rows| rows[4]["spec"]["max_body_bytes"] = 0.into(), "limits"),
+    no_spec => (|rows| rows[1]["spec"] = Value::Null, "r-issue"),
+}
+
+/// Guards against a version that no other one can follow.
+#[test]
+fn a_version_that_nothing_follows_is_refused() {
+    let mut document = document();
+    document["version"] = u64::MAX.into();
+    config::parse(&document.to_string()).expect_err("refused");
+}
+
+/// Guards against figures that wrap or never end when a number is huge.
+#[test]
+fn huge_figures_are_shortened() {
+    let mut document = document();
+    let rows = &mut document["resources"];
+    rows[0]["spec"]["timeout_ms"] = 1e300.into();
+    rows[0]["spec"]["target_latency_ms"] = 1e300.into();
+    rows[2]["spec"] = json!({ "warmup_s": 1e308, "warmup_per_s": 1e300 });
+    rows[3]["spec"]["rate_per_s"] = 1e300.into();
+    let snapshot = read(&document);
+    let day = Span::from_secs(86_400);
+    let route = &snapshot.tables.routes[0];
+    assert_eq!((route.deadline, route.target), (day, Some(day)));
+    let mut pools = snapshot.tables.pools.iter();
+    let pool = pools.find(|pool| pool.name.as_str() == "old");
+    assert!(pool.is_none_or(|pool| pool.warmup <= day));
+    assert_eq!(snapshot.teams.teams[0].rate.as_f64(), 1e9);
+}
+
+/// The configuration with one more row, as text.
+fn with_row(row: &str, at: usize) -> String {
+    let mut document = document();
+    let rows = document["resources"].as_array_mut().expect("rows");
+    rows.insert(at.min(rows.len()), json!("ROW"));
+    document.to_string().replacen("\"ROW\"", row, 1)
+}
+
+/// Guards against a configuration that is refused for a row that nobody reads.
+fn ignored(row: &str) {
+    for at in 0..7 {
+        let snapshot = config::parse(&with_row(row, at)).expect("a configuration");
+        assert_eq!(snapshot, read(&document()));
+    }
+}
+
+cases! { ignored:
+    unknown_row_with_a_number_out_of_range => (r#"{"type":"x","spec":{"a":1e400}}"#),
+    unknown_row_with_deep_nesting =>
+        (&format!(r#"{{"type":"x","spec":{}{}}}"#, "[".repeat(5000), "]".repeat(5000))),
+    unknown_row_with_odd_metadata => (r#"{"type":"x","metadata":-1e999,"spec":{}}"#),
+    unknown_row_without_a_spec => (r#"{"type":"x"}"#),
+    unknown_row_with_another_field => (r#"{"type":"x","spec":{},"more":[1e400]}"#),
+}
+
+/// Guards against a partial configuration: a row of a known type is never left out.
+fn not_left_out(row: &str) {
+    for at in 0..7 {
+        config::parse(&with_row(row, at)).expect_err("refused");
+    }
+}
+
+cases! { not_left_out:
+    known_row_with_a_number_out_of_range =>
+        (r#"{"type":"services","metadata":{"name":"s"},"spec":{"warmup_s":1e400}}"#),
+    known_row_without_a_spec => (r#"{"type":"tenants","metadata":{"name":"t"}}"#),
+    row_without_a_type => (r#"{"spec":{}}"#),
+    row_that_is_a_number => ("7"),
+}
+
+/// JSON that is well formed and odd.
+fn odd_value() -> impl Strategy<Value = String> {
+    prop_oneof![
+        (0usize..3000).prop_map(|depth| "[".repeat(depth) + &"]".repeat(depth)),
+        (0usize..3000).prop_map(|depth| r#"{"a":"#.repeat(depth) + "1" + &"}".repeat(depth)),
+        (any::<i64>(), 0u32..2000).prop_map(|(digits, exponent)| format!("{digits}e{exponent}")),
+        any::<String>().prop_map(|text| json!(text).to_string()),
+    ]
+    .prop_filter("JSON has no empty value", |text| !text.is_empty())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 200,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(63),
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against rows of unknown types that spoil or change what the others say.
+    #[test]
+    fn unknown_rows_change_nothing(spec in odd_value(), more in odd_value(), at in 0usize..8) {
+        let row = format!(r#"{{"type":"x","metadata":{more},"spec":{spec},"more":{more}}}"#);
+        let snapshot = config::parse(&with_row(&row, at)).expect("a configuration");
+        prop_assert_eq!(snapshot, read(&document()));
+    }
+
+    /// Guards against bytes at which the parser ends the process.
+    #[test]
+    fn mutated_configurations_end_no_process(
+        spec in odd_value(),
+        cuts in proptest::collection::vec((any::<usize>(), any::<char>()), 0..6),
+    ) {
+        let row = format!(r#"{{"type":"routes","metadata":{{"name":"r"}},"spec":{spec}}}"#);
+        let mut text: Vec<char> = with_row(&row, 0).chars().collect();
+        for (at, with) in cuts {
+            let at = at % text.len();
+            text[at] = with;
+        }
+        let _ = config::parse(&text.into_iter().collect::<String>());
+    }
 }
 
 /// The store goes silent just after it had answered. Requests are owed for three
