Keep the default of a bound that is no duration

A `revoke_ms` of 0 or -5 gave a node that takes every key for stale at once, one of 1e300 a node for which none ever is: the product was cast to an integer, which saturates.

--- a/tests/platform/config.rs
+++ b/tests/platform/config.rs
@@ -282,6 +282,24 @@
     }
 }
 
+/// Guards against a bound that refuses all keys, or holds forever, when the platform
+/// names a number that is no duration.
+fn keeps_the_default(number: f64) {
+    let odd = ["revoke_ms", "budget_window_s", "drain_ms", "grace_s"];
+    let odd = odd.map(|name| (name.to_owned(), json!(number)));
+    let (read, default) = (
+        bounds::parse(&odd.into()),
+        bounds::parse(&Default::default()),
+    );
+    assert_eq!(format!("{read:?}"), format!("{default:?}"));
+}
+
+cases! { keeps_the_default:
+    bounds_of_zero => (0.0),
+    negative_bounds => (-5.0),
+    huge_bounds => (1e300),
+}
+
 /// The store goes silent just after it had answered. Requests are owed for three
 /// fifths of the bound from then on, and the last answer was to a question a
 /// second and a half old: with a bound that is used to four fifths they were
