Refuse heartbeats with numbers that no server can mean

A heartbeat or deregistration under the server's own id with `born` or `sequence` of 2^64-1 made all later ones of the server outdated, for good: it got no requests, or went on getting them after it had said that it leaves. `warmup_left_ms` of 2^64-1 left it cold forever; a fraction of a millisecond made the heartbeat unreadable. Port 0 and 2^32-1 slots were believed.

Refused announcements are counted (`announcement_refused`), and logged once a path for the first 64 paths; each one was logged before.

What remains: a readable message with a believable number above the server's own is taken for the server's.

Evidence: on the code before, `no_port`, `sequence_that_nothing_follows`, `born_in_the_far_future`, `more_slots_than_a_server_has`, `huge_warmup`, `huge_whole_warmup`, `warmup_of_a_part`, `a_departure_in_the_far_future_is_refused` and the property `odd_heartbeats_hide_no_server` failed. `refused_heartbeats_are_reported_once_a_path` tests a function that was not there.

--- a/src/process/announce.rs
+++ b/src/process/announce.rs
@@ -6,7 +6,12 @@
 //! upstream has announced [`State::Gone`], it stays gone for that life, so a
 //! delayed announcement can't make it ready again.
 
-use std::net::SocketAddr;
+#![warn(clippy::arithmetic_side_effects, clippy::indexing_slicing)]
+
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr, //
+};
 
 use serde::Deserialize;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -34,6 +39,16 @@
 /// upstream that has just started.
 const MAX_INITIAL_SEQUENCE: u64 = 3;
 
+/// Highest life and highest sequence number of an announcement: the largest integer
+/// that every JSON parser reads exactly. Nothing could follow a higher one.
+const MAX_ORDINAL: u64 = 1 << 53;
+/// Highest number of slots of one upstream.
+const MAX_SLOTS: u32 = 1 << 20;
+/// Longest remaining warm-up; a longer one is shortened to it.
+const MAX_WARMUP: Span = Span::from_secs(24 * 3600);
+/// Number of paths whose refused announcements are logged.
+const MAX_LOGGED_PATHS: usize = 64;
+
 /// State that an upstream announces.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -82,8 +97,35 @@
     ///
     /// Returns an error if the body is not a valid announcement.
     pub fn read(notice: AnnouncementRequest<'_>) -> Result<Self> {
-        serde_json::from_slice(notice.body)
-            .map_err(|error| Error::new(Code::Field, error.to_string()))
+        let announcement: Self = serde_json::from_slice(notice.body)
+            .map_err(|error| Error::new(Code::Field, error.to_string()))?;
+        announcement.validated()
+    }
+
+    /// Checks the numbers of an announcement, and shortens a warm-up that is too long.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the life or the sequence number is so high that the
+    /// upstream's next announcement could not exceed it, if the address has no port, or
+    /// if the number of slots is too high.
+    pub fn validated(self) -> Result<Self> {
+        let is_low = |ordinal: Option<u64>| ordinal.is_none_or(|ordinal| ordinal <= MAX_ORDINAL);
+        let reason = match &self {
+            announcement if !is_low(announcement.life) => "the life is too high",
+            announcement if !is_low(announcement.sequence) => "the sequence number is too high",
+            announcement if announcement.address.is_some_and(|at| at.port() == 0) => {
+                "the address has no port"
+            }
+            announcement if announcement.slots.is_some_and(|slots| slots > MAX_SLOTS) => {
+                "the number of slots is too high"
+            }
+            _ => {
+                let warmup = self.warmup.min(MAX_WARMUP);
+                return Ok(Self { warmup, ..self });
+            }
+        };
+        Err(Error::new(Code::Field, reason))
     }
 }
 
@@ -129,6 +171,8 @@
     /// was accepted.
     last_gone: Option<Announcement>,
     last_heard: Time,
+    /// Paths of refused announcements that were reported.
+    refused_paths: BTreeSet<String>,
 }
 
 impl Upstream {
@@ -148,6 +192,7 @@
             upstream: None,
             last_gone: None,
             last_heard: Time::ZERO,
+            refused_paths: BTreeSet::new(),
         }
     }
 
@@ -290,10 +335,16 @@
         self.last_heard = self.last_heard.max(now);
     }
 
+    /// Records that an announcement could not be read, and reports whether it is the
+    /// first one with this path, up to [`MAX_LOGGED_PATHS`] of them.
+    pub fn record_refused(&mut self, path: &str) -> bool {
+        self.refused_paths.len() < MAX_LOGGED_PATHS && self.refused_paths.insert(path.to_owned())
+    }
+
     /// Reports whether a ready upstream has given no sign of life for too long. The
     /// caller then treats it as gone until its next announcement.
     pub fn is_silent(&self, now: Time) -> bool {
-        let limit = Span::from_ms(self.heartbeat.as_ms() * MAX_SILENT_HEARTBEATS);
+        let limit = Span::from_ms(self.heartbeat.as_ms().saturating_mul(MAX_SILENT_HEARTBEATS));
         self.is_ready() && now.since(self.last_heard) > limit
     }
 }
--- a/src/process/beside.rs
+++ b/src/process/beside.rs
@@ -25,7 +25,8 @@
     },
     inbound::End,
     interface::AnnouncementRequest,
-    node::Event,
+    metric::Counter,
+    node::Event, //
 };
 
 /// Maximum size of an announcement in bytes.
@@ -64,7 +65,11 @@
     match (carrier.interface.announcement)(notice) {
         Ok(announcement) => respond(&carrier, &announcement),
         Err(error) => {
-            log::warn!(path = request.path(); "announcement refused: {}", error.reason());
+            carrier.count(Counter::AnnouncementRefused);
+            let mut upstream_tracker = carrier.upstream_tracker.borrow_mut();
+            if upstream_tracker.record_refused(request.path()) {
+                log::warn!(path = request.path(); "announcement refused: {}", error.reason());
+            }
             empty_response(StatusCode::BAD_REQUEST)
         }
     }
@@ -141,7 +146,7 @@
                     .record_response(Clock.now());
             }
             End::Refused => {
-                let refusals = self.connect_failures.get() + 1;
+                let refusals = self.connect_failures.get().saturating_add(1);
                 self.connect_failures.set(refusals);
                 if refusals == REFUSALS_UNTIL_GONE && self.settings().listen.announcements.is_some()
                 {
--- a/src/process/metric.rs
+++ b/src/process/metric.rs
@@ -123,6 +123,8 @@
     Unauthenticated,
     /// Datagrams dropped because of a wrong authentication tag or malformed content.
     DatagramDropped,
+    /// Announcements of upstreams that could not be read.
+    AnnouncementRefused,
     /// Refusals that would have said that a request was not run while the outcome of its
     /// attempt was not known.
     OutcomeUnproven,
--- a/tests/platform/heartbeat.rs
+++ b/tests/platform/heartbeat.rs
@@ -14,6 +14,7 @@
     interface::AnnouncementRequest,
     platform::heartbeat, //
 };
+use proptest::prelude::*;
 use serde_json::{
     Value,
     json, //
@@ -68,6 +69,94 @@
     odd_service => (|b| b["service"] = "a b".into()),
     odd_address => (|b| b["address"] = "here".into()),
     no_sequence => (|b| b["sequence"] = Value::Null),
+    no_port => (|b| b["address"] = "10.128.0.9:0".into()),
+    port_out_of_range => (|b| b["address"] = "10.128.0.9:70000".into()),
+    sequence_that_nothing_follows => (|b| b["sequence"] = u64::MAX.into()),
+    born_in_the_far_future => (|b| b["born"] = u64::MAX.into()),
+    more_slots_than_a_server_has => (|b| b["capacity_slots"] = u32::MAX.into()),
+    negative_warmup => (|b| b["warmup_left_ms"] = (-1).into()),
+}
+
+/// Guards against a departure that no later life can follow.
+#[test]
+fn a_departure_in_the_far_future_is_refused() {
+    read(LEAVE, br#"{"born":18446744073709551615,"sequence":9}"#).expect_err("refused");
+    read(LEAVE, br#"{"born":5,"sequence":18446744073709551615}"#).expect_err("refused");
+}
+
+/// Guards against a server that counts as cold forever, and against one that is unknown
+/// because it counts in parts of a millisecond.
+fn warms_up_within(left: Value, within: Span) {
+    let mut body = body();
+    body["warmup_left_ms"] = left;
+    let word = read(BEAT, body.to_string().as_bytes()).expect("a word");
+    assert!(word.warmup <= within, "{}", word.warmup);
+}
+
+cases! { warms_up_within:
+    huge_warmup => (1e300.into(), Span::from_secs(86_400)),
+    huge_whole_warmup => (u64::MAX.into(), Span::from_secs(86_400)),
+    warmup_of_a_part => (0.5.into(), Span::from_ms(1)),
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 500,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(64),
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against odd heartbeats that end the process, or after which the server's
+    /// own ones count as outdated.
+    #[test]
+    fn odd_heartbeats_hide_no_server(
+        odd in proptest::collection::vec(
+            (0usize..9, prop_oneof![
+                Just(Value::Null), Just(json!([[[]]])), Just(json!(u64::MAX)),
+                Just(json!(-1)), Just(json!(1e300)), any::<String>().prop_map(Value::from),
+            ], proptest::option::of((any::<usize>(), any::<u8>()))),
+            0..20,
+        ),
+    ) {
+        const FIELDS: [&str; 9] = ["service", "address", "zone", "version", "capacity_slots",
+            "state", "warmup_left_ms", "sequence", "born"];
+        let pool = "mill".parse().expect("a name");
+        let address = ADDRESS.parse().expect("an address");
+        let mut upstream_tracker = UpstreamTracker::new(pool, address, Span::from_ms(1500));
+        for (field, value, byte) in odd {
+            let mut body = body();
+            // A readable number is a word of the server itself, so only the others follow.
+            body[FIELDS[field]] = value;
+            let mut text = body.to_string().into_bytes();
+            if let Some((at, with)) = byte.filter(|_| field < 4) {
+                let at = at % (text.len() / 2);
+                text[at] = with;
+            }
+            if let Ok(word) = read(BEAT, &text) {
+                prop_assert!(word.sequence <= Some(1 << 53) && word.life < Some(1 << 42));
+                if word.sequence == Some(4) && word.life == Some(1000) {
+                    upstream_tracker.handle(Time::from_ms(1), &word);
+                }
+            }
+        }
+        let mut body = body();
+        body["sequence"] = 5.into();
+        let word = read(BEAT, body.to_string().as_bytes()).expect("a word");
+        upstream_tracker.handle(Time::from_ms(2), &word);
+        prop_assert!(upstream_tracker.is_ready());
+    }
+}
+
+/// Guards against a log that another writer fills with heartbeats that cannot be read.
+#[test]
+fn refused_heartbeats_are_reported_once_a_path() {
+    let pool = "mill".parse().expect("a name");
+    let address = ADDRESS.parse().expect("an address");
+    let mut upstream_tracker = UpstreamTracker::new(pool, address, Span::from_ms(1500));
+    assert!(upstream_tracker.record_refused(BEAT));
+    assert!(!upstream_tracker.record_refused(BEAT));
+    let reported = (0..10_000).filter(|id| upstream_tracker.record_refused(&id.to_string()));
+    assert!(reported.count() < 100);
 }
 
 #[test]
