Read no epoch that nothing follows

A seat's record with an epoch of 2^64-1 or 2^64-2 and an owner that is gone made every node that wants the seat add 2 to it: a panic with overflow checks, and without them a seat that is taken under epoch 1 or 0, below those of its former owners. The same in a message of an owner to its successor, at its takeover. A clock reading in that message that the successor never sent (2^64-1) let the takeover last forever.

An epoch above 2^62 is not read, in records and messages, and the next one is a checked sum. A record that cannot be read or followed is left alone: the owner that it hides may hold the seat on its short lease, or on promises, without reading the record again, so nobody can prove from the store that the seat is free. Two owners cannot result, as nobody claims it; the seat stays with its owner and can be taken by nobody else until the record is deleted. An echoed clock reading ahead of the clock is ignored, so there is no takeover on it.

Evidence: `epoch_that_nothing_follows`, `epoch_that_one_follows` (overflow at claim.rs:459), `highest_epoch`, `takeover_with_*` (overflow at ward.rs:163, and a right without an end) and `an_epoch_that_nothing_follows_is_not_read` failed on the code before. The soak of seats (`seats::one_owner`) passes unchanged.

--- a/src/process/lease.rs
+++ b/src/process/lease.rs
@@ -41,6 +41,10 @@
         Span,
         Time, //
     },
+    error::{
+        Code,
+        Error, //
+    },
     id::{
         Incarnation,
         Instance,
@@ -68,15 +72,50 @@
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
-#[serde(transparent)]
+#[serde(try_from = "u64", into = "u64")]
 pub struct Epoch(pub u64);
 
+impl TryFrom<u64> for Epoch {
+    type Error = Error;
+
+    /// Refuses a number above [`Epoch::MAX`].
+    fn try_from(number: u64) -> Result<Self, Error> {
+        let epoch = Self(number);
+        match epoch <= Self::MAX {
+            true => Ok(epoch),
+            false => Err(Error::new(
+                Code::StoreData,
+                format!("the epoch {number} is above {}", Self::MAX.0),
+            )),
+        }
+    }
+}
+
+impl From<Epoch> for u64 {
+    fn from(epoch: Epoch) -> Self {
+        epoch.0
+    }
+}
+
 impl Epoch {
+    /// The highest epoch that is read and written.
+    pub const MAX: Self = Self(1 << 62);
+
+    /// The epoch of a successor that takes over without the store.
+    fn after_takeover(self) -> Option<Self> {
+        self.0.checked_add(1).map(Self).filter(|e| *e <= Self::MAX)
+    }
+
+    /// The epoch of a new owner that the store names.
+    fn after_claim(self) -> Option<Self> {
+        self.0.checked_add(2).map(Self).filter(|e| *e <= Self::MAX)
+    }
+
     /// Whether this epoch comes directly after `other`. A successor that takes
     /// over without the store increments the epoch by one, every other new
     /// owner by two, so that the two never use the same number.
     pub fn directly_follows(self, other: Self) -> bool {
-        self.0 > other.0 && self.0 <= other.0 + 2
+        self.0 > other.0 && self.0 <= other.0.saturating_add(2)
     }
 }
 
--- a/src/process/lease/claim.rs
+++ b/src/process/lease/claim.rs
@@ -280,6 +280,12 @@
         self.claims.next_attempt.insert(seat, at);
     }
 
+    /// Leaves a record alone from which no claim can follow. An owner that it hides
+    /// may still hold the seat, so it must not be replaced.
+    fn retry_unusable(&mut self, now: Time, seat: Seat) {
+        self.retry_later(now, seat, Span::from_secs(20), Span::from_secs(30));
+    }
+
     fn on_seat_read(&mut self, now: Time, seat: Seat, entry: Option<Entry>, out: &mut Vec<Action>) {
         self.claims.uncertain_writes.remove(&seat);
         let Some(lease) = self
@@ -302,7 +308,7 @@
             return self.start_step(now, Step::Write(claim), out);
         };
         let Some(record) = decode::<SeatRecord>(&entry) else {
-            return self.retry_later(now, seat, Span::from_secs(20), Span::from_secs(30));
+            return self.retry_unusable(now, seat);
         };
         self.forget_seat_of_others(&seat, &record.owner);
         let found = SeatRead {
@@ -345,7 +351,10 @@
         // An owner that held the seat without interruption keeps its state.
         let right = self.ownership(now, &claim.seat).map(|right| right.epoch);
         claim.continued_epoch = right.filter(|epoch| *epoch == claim.epoch);
-        claim.epoch = Epoch(claim.epoch.0 + 2);
+        let Some(epoch) = claim.epoch.after_claim() else {
+            return self.retry_unusable(now, claim.seat);
+        };
+        claim.epoch = epoch;
         claim.write_id = self.next_write_id();
         self.start_step(now, Step::Write(claim), out);
     }
@@ -377,7 +386,9 @@
             return self.start_step(now, step(found), out);
         }
         let own = self.held.get(&found.seat).map(|held| held.epoch);
-        let epoch = own.unwrap_or(Epoch(found.record.epoch.0 + 2));
+        let Some(epoch) = own.or(found.record.epoch.after_claim()) else {
+            return self.retry_unusable(now, found.seat);
+        };
         let claim = Claim {
             seat: found.seat,
             expect: found.revision,
@@ -453,10 +464,13 @@
         else {
             return;
         };
+        let Some(epoch) = found.record.epoch.after_claim() else {
+            return self.retry_unusable(now, found.seat);
+        };
         let claim = Claim {
             seat: found.seat,
             expect: found.revision,
-            epoch: Epoch(found.record.epoch.0 + 2),
+            epoch,
             lease,
             write_id: self.next_write_id(),
             continued_epoch: None,
--- a/src/process/lease/ward.rs
+++ b/src/process/lease/ward.rs
@@ -71,6 +71,7 @@
         // reading `echoed_clock`, so this ends no later than the lease in the
         // store, however long the message was in transit.
         let echoed = extend.echoed_clock.map(Time::from_ms);
+        let echoed = echoed.filter(|at| *at <= now);
         self.takeover_end = echoed.map(|at| at + extend.long_left.min(takeover_limit));
         self.seats.clone_from(&extend.seats);
     }
@@ -159,8 +160,11 @@
             }
             owner_state.taken_over = true;
             for (seat, epoch) in &owner_state.seats {
+                let Some(epoch) = epoch.after_takeover() else {
+                    continue;
+                };
                 let held = HeldSeat {
-                    epoch: Epoch(epoch.0 + 1),
+                    epoch,
                     since: now,
                     basis: Basis::Takeover(until),
                     expiry_cap: until,
--- a/tests/rights.rs
+++ b/tests/rights.rs
@@ -7,6 +7,8 @@
 mod bank;
 #[path = "rights/fleet.rs"]
 mod fleet;
+#[path = "rights/odd_seats.rs"]
+mod odd_seats;
 #[path = "rights/seats.rs"]
 mod seats;
 #[path = "rights/unlisted_borrower.rs"]
