Replace what others put in place of a node's own lease records

What another writer put at the key of a node's liveness record kept that node from every seat for its whole life: it waited for the value to expire, which had no lease. In place of its node record, an unreadable value was written against at each tick, always with the wrong revision. A lease granted for 0 ms was requested at each tick (400 times in 20 s in the test), one granted for longer than requested was believed.

Both records are the node's own, under its own life. What is found there is replaced at its revision; only the liveness record of the lease before is left to expire. The successor named before stays named, as it may rely on that. Nobody gains by this: a liveness record only keeps others from this node's seats, and an unreadable node record names no successor. A lease that ends within the clock margin counts as expired, with the backoff of a refused call, and none counts for longer than requested.

Evidence: with base.rs as before, `odd_liveness_record`, `empty_liveness_record`, `liveness_record_with_another_lease`, `odd_node_record`, `node_record_with_a_lease_out_of_range`, `a_lease_without_a_duration_is_requested_rarely` and `a_lease_lasts_no_longer_than_requested` failed.

--- a/src/process/lease/base.rs
+++ b/src/process/lease/base.rs
@@ -67,6 +67,10 @@
 pub(super) struct OwnLeases {
     short_lease: Option<LeaseTerm>,
     alive_written: bool,
+    /// The revision of what is in place of the liveness record, if it is to be replaced.
+    alive_revision: Revision,
+    /// The short lease before the present one. Its liveness record may not have expired.
+    former_lease: Option<Lease>,
     long_lease: Option<LeaseTerm>,
     node_record: Option<(Revision, NodeRecord)>,
     node_write_uncertain: bool,
@@ -106,6 +110,14 @@
         node.successor.as_ref().filter(|_| is_certain)
     }
 
+    /// The revision at which what is in place of the liveness record is replaced. A
+    /// record under the lease before is left to expire; no other one is this node's.
+    fn replaceable_revision(&self, entry: Option<Entry>) -> Revision {
+        let former = self.former_lease.map(|lease| lease.to_string());
+        let others = entry.filter(|entry| Some(&entry.value) != former.as_ref());
+        others.map_or(NO_REVISION, |entry| entry.revision)
+    }
+
     /// Records that the process was paused until now.
     pub(super) fn note_resumed(&mut self, now: Time) {
         let recent = Time::from_ms(
@@ -155,7 +167,7 @@
             Step::RenewShort(lease) | Step::RenewLong(lease) => Call::Renew { lease: *lease },
             Step::WriteAlive(lease) => Call::Swap {
                 key: alive_key(&self.local),
-                expect: NO_REVISION,
+                expect: self.own_leases.alive_revision,
                 value: Some(lease.to_string()),
                 lease: Some(*lease),
             },
@@ -228,8 +240,23 @@
         self.own_leases.consecutive_failures = 0;
         self.own_leases.next_call_at = Time::ZERO;
         let margin = self.options.clock_margin;
+        let requested = match step {
+            Step::GrantLong | Step::RenewLong(_) => self.options.long_ttl,
+            _ => self.options.short_ttl,
+        };
+        let answer = match answer {
+            // A lease that ends at once is none: it would be requested again at each tick.
+            Answer::Leased { ttl, .. } if ttl <= margin => Answer::Expired,
+            Answer::Leased { lease, ttl } => Answer::Leased {
+                lease,
+                ttl: ttl.min(requested),
+            },
+            answer => answer,
+        };
         match (step, answer) {
             (Step::GrantShort, Answer::Leased { lease, ttl }) => {
+                let former = self.own_leases.short_lease.map(|term| term.lease);
+                self.own_leases.former_lease = former.or(self.own_leases.former_lease);
                 self.own_leases.short_lease = Some(LeaseTerm {
                     lease,
                     requested_at: asked,
@@ -251,9 +278,13 @@
                 extend_term(&mut self.own_leases.long_lease, lease, asked, ttl - margin);
             }
             (Step::RenewShort(lease), Answer::Expired) => {
-                self.own_leases
+                let expired = self
+                    .own_leases
                     .short_lease
                     .take_if(|term| term.lease == lease);
+                if expired.is_some() {
+                    self.own_leases.former_lease = Some(lease);
+                }
                 self.own_leases.alive_written =
                     self.own_leases.alive_written && self.own_leases.short_lease.is_some();
             }
@@ -300,13 +331,15 @@
             Answer::Conflict(Some(entry)) if entry.value == lease.to_string() && current => {
                 self.own_leases.alive_written = true;
             }
-            // A liveness record under an earlier lease of this incarnation,
-            // which is about to expire.
-            Answer::Conflict(Some(_)) => {
+            Answer::Conflict(entry) => {
                 self.own_leases.next_call_at =
                     now + self.jitter(CALL_TIMEOUT.scale(0.5), CALL_TIMEOUT);
+                self.own_leases.alive_revision = self.own_leases.replaceable_revision(entry);
+            }
+            Answer::Expired if current => {
+                self.own_leases.short_lease = None;
+                self.own_leases.former_lease = Some(lease);
             }
-            Answer::Expired if current => self.own_leases.short_lease = None,
             _ => {}
         }
     }
@@ -326,8 +359,18 @@
 
     fn on_own_node_read(&mut self, entry: Option<Entry>) {
         self.own_leases.node_write_uncertain = false;
-        let read = |entry: Entry| Some((entry.revision, super::decode::<NodeRecord>(&entry)?));
-        self.own_leases.node_record = entry.and_then(read);
+        let former = self.own_leases.node_record.take();
+        let successor = former.and_then(|(_, node)| node.successor);
+        // What another writer has put in place of the record is replaced at its
+        // revision. The successor that was named before may rely on its name.
+        let replaced = NodeRecord {
+            successor,
+            lease: Lease(0),
+        };
+        self.own_leases.node_record = entry.map(|entry| {
+            let node = super::decode::<NodeRecord>(&entry);
+            (entry.revision, node.unwrap_or(replaced))
+        });
     }
 }
 
--- a/tests/rights/odd_seats.rs
+++ b/tests/rights/odd_seats.rs
@@ -173,6 +173,55 @@
     null_record => ("null"),
 }
 
+/// Guards against a node that requests a lease at each tick because each ends at once.
+#[test]
+fn a_lease_without_a_duration_is_requested_rarely() {
+    let mut site = Site::new();
+    site.ttl = Some(Span::ZERO);
+    site.run(Span::from_secs(20), &[seat("a")]);
+    assert!((1..=6).contains(&site.grants), "{}", site.grants);
+    assert!(!site.holds("a"));
+    site.ttl = None;
+    site.run(Span::from_secs(20), &[seat("a")]);
+    assert!(site.holds("a"));
+}
+
+/// Guards against a node that holds a seat for as long as an odd answer says.
+#[test]
+fn a_lease_lasts_no_longer_than_requested() {
+    let mut site = Site::new();
+    site.ttl = Some(Span::MAX);
+    site.run(Span::from_secs(5), &[seat("a")]);
+    let right = site.manager.ownership(site.now, &seat("a"));
+    let right = right.expect("a right");
+    assert!(right.until <= site.now + Span::from_secs(15));
+}
+
+/// Guards against a node that owns nothing, or writes at each tick, because another
+/// writer has put something in place of its own records.
+fn replaced(key: &str, value: &str) {
+    let mut site = Site::new();
+    site.put(key, value);
+    site.run(Span::from_secs(10), &[seat("a")]);
+    assert!(site.holds("a"));
+    assert!(site.written.contains(key));
+    let stored = site.entry(key).map(|entry| entry.value);
+    assert_ne!(stored.as_deref(), Some(value));
+    assert!(site.swaps <= 12, "{} swaps", site.swaps);
+}
+
+const ALIVE: &str = "right/alive/me/0000000000000007";
+const NODE: &str = "right/node/me/0000000000000007";
+
+cases! { replaced:
+    odd_liveness_record => (ALIVE, "[[[["),
+    empty_liveness_record => (ALIVE, ""),
+    liveness_record_with_another_lease => (ALIVE, "18446744073709551615"),
+    odd_node_record => (NODE, "[[[["),
+    node_record_with_a_lease_out_of_range => (NODE, r#"{"successor":null,"lease":1e400}"#),
+    node_record_with_another_lease => (NODE, r#"{"successor":"x","lease":77}"#),
+}
+
 fn extend(sequence: u64, state: State, echoed: Option<u64>, epoch: u64) -> Message {
     Message::Extend(Extend {
         owner: NodeLife {
