Bound the figures in messages about tokens

A loan of more tokens than were requested was spent; a wait or a refusal without an end refused a team for good, and told its callers to wait for as long; a part delegated for longer than parts are multiplied a team's rate; a deposit, a fraction brought along, or a peer's clock near 2^64 overflowed.

Each figure is cut to what its sender may mean: no more tokens than requested, less than one token brought, no longer than a grant, a delegation or the longest wait lasts. Sums saturate.

Evidence: `a_loan_is_no_larger_than_requested` (2 of 1), `a_wait_for_tokens_is_bounded`, `a_server_lends_no_more_than_the_burst` (overflow at mint.rs:323), `a_refusal_by_an_owner_ends` and `a_clock_at_its_end_is_no_fault` (overflow at holder.rs:319) failed on the code before.

--- a/src/process/quota/bank/account.rs
+++ b/src/process/quota/bank/account.rs
@@ -1,8 +1,11 @@
 //! The borrower's side: one team's tokens at this node.
 
-use super::message::{
-    BorrowRequest, //
-    LendReply,
+use super::{
+    message::{
+        BorrowRequest,
+        LendReply, //
+    },
+    mint::MAX_WAIT,
 };
 use crate::{
     clock::{
@@ -99,6 +102,7 @@
     sent_at: Time,
     importance: Importance,
     server: Instance,
+    want: u32,
     life: Span,
 }
 
@@ -257,6 +261,7 @@
             sent_at: now,
             importance,
             server: server.clone(),
+            want,
             life,
         });
         Some((server, request))
@@ -299,7 +304,13 @@
         reply: LendReply,
     ) -> Option<Instance> {
         let pending = self.pending.take_if(|pending| pending.number == number)?;
-        self.fraction += reply.fraction;
+        let reply = LendReply {
+            tokens: reply.tokens.min(pending.want),
+            fraction: reply.fraction.min(MILLIS_PER_TOKEN),
+            wait: reply.wait.min(MAX_WAIT),
+            ..reply
+        };
+        self.fraction = self.fraction.saturating_add(reply.fraction);
         if reply.tokens > 0 {
             self.loans.push(Loan {
                 server: pending.server.clone(),
--- a/src/process/quota/bank/mint.rs
+++ b/src/process/quota/bank/mint.rs
@@ -47,7 +47,7 @@
 /// At most this fraction of a bucket is reserved for more important calls.
 const MAX_RESERVE_DIVISOR: u64 = 4;
 /// The longest wait that an answer reports.
-const MAX_WAIT: Span = Span::from_secs(5);
+pub(super) const MAX_WAIT: Span = Span::from_secs(5);
 
 /// This node's share of a team: one of as many parts as there are servers.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -216,7 +216,7 @@
             return;
         }
         server_bucket.refill(now);
-        let until = asked + part.life;
+        let until = asked + part.life.min(DELEGATION_LIFE);
         let known = server_bucket
             .accepted_parts
             .entry(from.clone())
@@ -320,23 +320,25 @@
         let before = self.bucket.millis();
         let free_capacity = self.free_capacity(now);
         self.bucket
-            .raise_to_millis((before + millis).min(free_capacity));
+            .raise_to_millis(before.saturating_add(millis).min(free_capacity));
         self.bucket.millis() - before
     }
 
+    /// Lends tokens. A borrower brings less than a whole token.
     fn lend(&mut self, now: Time, request: &BorrowRequest) -> LendReply {
+        let brought_millis = request.brought_millis.min(MILLIS_PER_TOKEN);
         self.last_request = now;
         self.refill(now);
         self.forget_old_requests(now);
         let reserve = self.reserved_millis(now, request.importance);
         let free = self.bucket.millis().saturating_sub(reserve);
-        let offered = free + request.brought_millis;
+        let offered = free.saturating_add(brought_millis);
         let tokens = (offered / MILLIS_PER_TOKEN).min(u64::from(request.want));
         let leaves_fraction =
             tokens == 0 && !request.last && self.part_count(now) < SERVERS_PER_TEAM as u64;
         let lent = match leaves_fraction {
             true => free,
-            false => (tokens * MILLIS_PER_TOKEN).saturating_sub(request.brought_millis),
+            false => (tokens * MILLIS_PER_TOKEN).saturating_sub(brought_millis),
         };
         self.bucket.remove_millis(lent);
         self.answered.push_back(AnsweredRequest {
@@ -348,7 +350,7 @@
             millis: lent.max(tokens * MILLIS_PER_TOKEN),
             life: request.life.min(DEMAND_MEMORY),
         });
-        let rest = request.brought_millis + lent - tokens * MILLIS_PER_TOKEN;
+        let rest = brought_millis + lent - tokens * MILLIS_PER_TOKEN;
         LendReply {
             tokens: tokens as u32,
             fraction: match leaves_fraction {
--- a/src/process/quota/bucket.rs
+++ b/src/process/quota/bucket.rs
@@ -40,9 +40,11 @@
     pub fn refill(&mut self, now: Time, rate: Rate, cap: u64) {
         let yielded =
             u128::from(rate.as_millis()) * u128::from(now.since(self.refilled_at).as_ms());
-        let yielded = u64::try_from(yielded).unwrap_or(u64::MAX / 2) + self.remainder;
+        let yielded = u64::try_from(yielded)
+            .unwrap_or(u64::MAX / 2)
+            .saturating_add(self.remainder);
         self.refilled_at = self.refilled_at.max(now);
-        self.millis += yielded / 1000;
+        self.millis = self.millis.saturating_add(yielded / 1000);
         self.remainder = yielded % 1000;
         if self.millis >= cap {
             self.millis = cap;
--- a/src/process/quota/holder.rs
+++ b/src/process/quota/holder.rs
@@ -8,11 +8,13 @@
     BatchId,
     Bucket,
     Charge,
+    MAX_GRANT_LIFE,
     Message,
     Reply,
     Return,
     bank::WaitingCounts,
-    bucket::MILLIS_PER_TOKEN, //
+    bucket::MILLIS_PER_TOKEN,
+    owner::MAX_WAIT, //
 };
 use crate::{
     clock::{
@@ -316,8 +318,9 @@
         {
             Some(clock_reading) => {
                 let passed = now.since(clock_reading.at).as_ms();
-                let clock = clock_reading.clock + passed - passed / CLOCK_DRIFT_DIVISOR;
-                StartLimit::Clock(clock + left.as_ms())
+                let advanced = passed - passed / CLOCK_DRIFT_DIVISOR;
+                let clock = clock_reading.clock.saturating_add(advanced);
+                StartLimit::Clock(clock.saturating_add(left.as_ms()))
             }
             None => StartLimit::Within(left - TRANSIT_ALLOWANCE),
         }
@@ -345,7 +348,7 @@
                 return false;
             }
             Reply::OverRate(wait) => {
-                grants.over_rate_until = now + wait;
+                grants.over_rate_until = now + wait.min(MAX_WAIT);
                 grants.scarce = true;
             }
             Reply::Granted {
@@ -359,8 +362,8 @@
                 grants.held.push(HeldGrant {
                     grant,
                     batch,
-                    end: pending.first_sent + life,
-                    unspent: tokens,
+                    end: pending.first_sent + life.min(MAX_GRANT_LIFE),
+                    unspent: tokens.min(MAX_WANT),
                     taken: 0,
                     unused: 0,
                     begun: 0,
--- a/src/process/quota/owner.rs
+++ b/src/process/quota/owner.rs
@@ -32,7 +32,7 @@
 
 /// Bounds of the wait that [`Reply::OverRate`] reports.
 const MIN_WAIT: Span = Span::from_ms(20);
-const MAX_WAIT: Span = Span::from_ms(200);
+pub(super) const MAX_WAIT: Span = Span::from_ms(200);
 /// A holder that has not sent a request for this long is forgotten.
 const HOLDER_IDLE_TIMEOUT: Span = Span::from_secs(60);
 
--- a/tests/rights.rs
+++ b/tests/rights.rs
@@ -9,6 +9,8 @@
 mod fleet;
 #[path = "rights/odd_seats.rs"]
 mod odd_seats;
+#[path = "rights/odd_tokens.rs"]
+mod odd_tokens;
 #[path = "rights/seats.rs"]
 mod seats;
 #[path = "rights/unlisted_borrower.rs"]
