Ignore gossiped records that nothing can follow or reach

One gossiped record of a living node with its own incarnation, revision 2^32-1 and status `dead` could not be refuted: the next revision overflowed, a panic with overflow checks and a wrap to 0 without them, which left the node dead for all others until it restarted. A record with port 0 replaced a good one, and nobody could connect to that member. Seeds from the list in the store, to which others write, were kept without a bound, and drowned those of the settings.

A record with a revision above 2^31, or an address without a port, is ignored and counted (`member_record_refused`); the others of the datagram, and the datagram itself, count. The last 128 listed seeds are kept, apart from those of the settings. Decoders of frames, datagrams and digests are held to `arithmetic_side_effects` and `indexing_slicing`; the comparison of digests no longer indexes, and reads no more entries than a datagram holds.

What remains: a record of revision 2^31 exactly cannot be refuted in that incarnation.

Evidence: on the code before, `a_revision_that_nothing_follows_is_ignored` (overflow at table.rs:267), `a_record_without_a_port_replaces_none` and `listed_seeds_do_not_hide_those_of_the_settings` failed. The decoders' tests (`refused`, `arbitrary_bytes_end_no_decoder`, `spoilt_*`) passed before too: no bytes were found at which they end.

--- a/src/connection/frame.rs
+++ b/src/connection/frame.rs
@@ -3,6 +3,8 @@
 //! Every frame of a request carries its number, which is never reused. So a late
 //! frame, or one that crossed another on the way, finds no waiter and is dropped.
 
+#![warn(clippy::arithmetic_side_effects, clippy::indexing_slicing)]
+
 use std::fmt;
 
 use bytes::Bytes;
--- a/src/connection/message.rs
+++ b/src/connection/message.rs
@@ -5,6 +5,8 @@
 //! tolerates that. A larger message is sent over a link, inside
 //! [`crate::frame::Frame::Control`].
 
+#![warn(clippy::arithmetic_side_effects, clippy::indexing_slicing)]
+
 use serde::{
     Deserialize,
     Serialize, //
--- a/src/process/member/agent.rs
+++ b/src/process/member/agent.rs
@@ -2,7 +2,10 @@
 
 mod round;
 
-use std::net::SocketAddr;
+use std::{
+    collections::VecDeque,
+    net::SocketAddr, //
+};
 
 use rand::{
     RngExt,
@@ -52,6 +55,8 @@
 const DEAD_PROBES_PER_SECOND: usize = 4;
 /// Time to refute a suspicion, per decimal digit of the fleet size.
 const REFUTE_TIMEOUT_PER_DIGIT: Span = Span::from_secs(3);
+/// Maximum number of seeds from the store that are kept.
+const MAX_LISTED_SEEDS: usize = 128;
 /// A gap of this length between two events means that this process was paused.
 pub const PAUSE_THRESHOLD: Span = Span::from_secs(2);
 
@@ -75,6 +80,10 @@
     queue: GossipQueue,
     prober: Prober,
     seeds: Vec<SocketAddr>,
+    /// Addresses from the list in the store, oldest first.
+    listed_seeds: VecDeque<SocketAddr>,
+    /// Records that were ignored because they are invalid.
+    refused_records: usize,
     /// Remaining rounds of gossip that are sent even without changes.
     forced_rounds: u32,
     next_round_at: Time,
@@ -95,6 +104,8 @@
             queue: GossipQueue::default(),
             prober: Prober::default(),
             seeds: Vec::new(),
+            listed_seeds: VecDeque::new(),
+            refused_records: 0,
             forced_rounds: 0,
             next_round_at: Time::ZERO,
             next_exchange_at: Time::ZERO,
@@ -104,9 +115,9 @@
         }
     }
 
-    /// Adds datagram addresses of possible members, from the settings or from the
-    /// store. They are kept for the lifetime of the process, so that a node can join
-    /// during a store outage as long as one of them answers.
+    /// Adds datagram addresses of possible members from the settings. They are kept for
+    /// the lifetime of the process, so that a node can join during a store outage as long
+    /// as one of them answers.
     pub fn add_seeds(&mut self, addresses: impl IntoIterator<Item = SocketAddr>) {
         for address in addresses {
             if !self.seeds.contains(&address) {
@@ -115,6 +126,26 @@
         }
     }
 
+    /// Adds datagram addresses of possible members that the store lists. The last
+    /// [`MAX_LISTED_SEEDS`] are kept, as others may write to the list, too.
+    pub fn add_listed_seeds(&mut self, addresses: impl IntoIterator<Item = SocketAddr>) {
+        for address in addresses {
+            if address.port() == 0 || self.seeds.contains(&address) {
+                continue;
+            }
+            self.listed_seeds.retain(|known| *known != address);
+            self.listed_seeds.push_back(address);
+            if self.listed_seeds.len() > MAX_LISTED_SEEDS {
+                self.listed_seeds.pop_front();
+            }
+        }
+    }
+
+    /// Returns how many records were ignored as invalid since the last call.
+    pub fn take_refused_records(&mut self) -> usize {
+        std::mem::take(&mut self.refused_records)
+    }
+
     /// Updates this node's own record and queues it for gossip.
     pub fn announce(&mut self, now: Time, peer: &Peer, table: &mut Table) {
         let update = table.announce(now, peer, 0);
@@ -178,11 +209,13 @@
         &mut self,
         now: Time,
         from: SocketAddr,
-        message: super::Message,
+        mut message: super::Message,
         table: &mut Table,
         rng: &mut ChaCha8Rng,
         out: &mut Vec<Outgoing>,
     ) -> bool {
+        let refused = message.remove_invalid();
+        self.refused_records = self.refused_records.saturating_add(refused);
         let relay = message.kind != Kind::Page;
         for update in &message.updates {
             self.apply_update(now, update, relay, table);
--- a/src/process/member/agent/round.rs
+++ b/src/process/member/agent/round.rs
@@ -139,7 +139,7 @@
             .filter(|peer| peer.status == Status::Dead)
             .map(|peer| peer.datagram);
         let own = table.get(&self.me).map(|me| me.datagram);
-        let unknown_seeds = self.seeds.iter().copied();
+        let unknown_seeds = self.seeds.iter().chain(&self.listed_seeds).copied();
         let unknown_seeds = unknown_seeds
             .filter(|seed| table.by_datagram_address(*seed).is_none() && Some(*seed) != own);
         let addresses: Vec<_> = dead.chain(unknown_seeds).collect();
--- a/src/process/member/exchange.rs
+++ b/src/process/member/exchange.rs
@@ -5,6 +5,8 @@
 //! as fit into one datagram; then only the records that differ are sent. Two equal
 //! tables cost one digest.
 
+#![warn(clippy::arithmetic_side_effects, clippy::indexing_slicing)]
+
 use std::collections::{
     BTreeMap,
     BTreeSet, //
@@ -18,6 +20,8 @@
 
 /// Number of buckets of a digest; each is one bit of a `u64` mask.
 const BUCKET_COUNT: u32 = 64;
+/// Length of a checksum, or of the hash of a name, in bytes.
+const SUM_LEN: usize = 4;
 /// Maximum number of members whose checksums fit into one datagram.
 const MAX_ENTRIES: usize = 150;
 /// Maximum encoded length of the updates in one datagram, in bytes.
@@ -27,7 +31,9 @@
 pub(crate) fn digest(table: &Table) -> Vec<u8> {
     let mut buckets = [0_u32; BUCKET_COUNT as usize];
     for (hash, checksum) in table.checksums() {
-        buckets[(hash % BUCKET_COUNT) as usize] ^= checksum;
+        if let Some(sum) = buckets.get_mut((hash % BUCKET_COUNT) as usize) {
+            *sum ^= checksum;
+        }
     }
     buckets.iter().flat_map(|sum| sum.to_be_bytes()).collect()
 }
@@ -40,10 +46,12 @@
     if theirs.len() != ours.len() {
         return (0, Vec::new());
     }
-    let differs = |bucket: &u32| {
-        let offset = *bucket as usize * 4;
-        ours[offset..offset + 4] != theirs[offset..offset + 4]
-    };
+    let sums = ours.chunks_exact(SUM_LEN).zip(theirs.chunks_exact(SUM_LEN));
+    let differing: BTreeSet<u32> = (0..BUCKET_COUNT)
+        .zip(sums)
+        .filter(|(_, (ours, theirs))| ours != theirs)
+        .map(|(bucket, _)| bucket)
+        .collect();
     let mut members_by_bucket: BTreeMap<u32, Vec<(u32, u32)>> = BTreeMap::new();
     for (hash, checksum) in table.checksums() {
         members_by_bucket
@@ -54,10 +62,10 @@
     let mut mask = 0;
     let mut entries = Vec::new();
     let mut remaining = MAX_ENTRIES;
-    for bucket in (0..BUCKET_COUNT)
-        .map(|i| (first + i) % BUCKET_COUNT)
-        .filter(differs)
-    {
+    let (before, from) = differing
+        .iter()
+        .partition::<Vec<u32>, _>(|bucket| **bucket < first);
+    for bucket in from.into_iter().chain(before) {
         let members = members_by_bucket.remove(&bucket).unwrap_or_default();
         // A bucket that is too large on its own is truncated. The exchanges
         // that the other side starts repair the rest.
@@ -65,9 +73,9 @@
         if taken > remaining {
             break;
         }
-        remaining -= taken;
+        remaining = remaining.saturating_sub(taken);
         mask |= 1 << bucket;
-        for (hash, checksum) in &members[..taken] {
+        for (hash, checksum) in members.iter().take(taken) {
             entries.extend(hash.to_be_bytes());
             entries.extend(checksum.to_be_bytes());
         }
@@ -105,7 +113,7 @@
 
 /// The records of the members that a peer requested by name hash.
 pub(super) fn requested_updates(now: Time, table: &Table, hashes: &[u8]) -> Vec<Update> {
-    let hashes = hashes.chunks_exact(4).take(MAX_ENTRIES).map(read_u32);
+    let hashes = hashes.chunks_exact(SUM_LEN).take(MAX_ENTRIES).map(read_u32);
     hashes
         .filter_map(|hash| table.update_by_hash(now, hash))
         .collect()
@@ -132,9 +140,10 @@
 }
 
 fn entry_pairs(bytes: &[u8]) -> impl Iterator<Item = (u32, u32)> {
-    bytes
-        .chunks_exact(8)
-        .map(|pair| (read_u32(&pair[..4]), read_u32(&pair[4..])))
+    let pairs = bytes.chunks_exact(2 * SUM_LEN).take(MAX_ENTRIES);
+    pairs
+        .map(|pair| pair.split_at(SUM_LEN))
+        .map(|(hash, sum)| (read_u32(hash), read_u32(sum)))
 }
 
 fn read_u32(bytes: &[u8]) -> u32 {
--- a/src/process/member/packed.rs
+++ b/src/process/member/packed.rs
@@ -1,6 +1,8 @@
 //! Serde encoding of socket addresses as byte strings: an IPv4 or IPv6 address of
 //! 4 or 16 bytes, followed by the port in big-endian order.
 
+#![warn(clippy::arithmetic_side_effects, clippy::indexing_slicing)]
+
 use std::net::{
     IpAddr,
     Ipv4Addr,
--- a/src/process/member/wire.rs
+++ b/src/process/member/wire.rs
@@ -3,6 +3,8 @@
 //! Field names are one letter on the wire: at 1,200 members these messages are
 //! most of the control traffic of a node.
 
+#![warn(clippy::arithmetic_side_effects, clippy::indexing_slicing)]
+
 use std::net::SocketAddr;
 
 use serde::{
@@ -31,6 +33,9 @@
 /// Maximum encoded length of a card without its names, in bytes, with IPv6
 /// addresses.
 const CARD_BASE_LEN: usize = 56;
+/// Maximum revision of a record within one incarnation. A member refutes a record
+/// by a higher revision, so there must be one.
+const MAX_REVISION: u32 = 1 << 31;
 
 /// A datagram of the membership protocol.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -159,11 +164,30 @@
     pub ready: Option<u8>,
 }
 
+impl Message {
+    /// Removes the changes with an invalid number or address, and returns how many there
+    /// were. The others, and the message itself, still count.
+    pub fn remove_invalid(&mut self) -> usize {
+        let before = self.updates.len();
+        self.updates.retain(Update::is_valid);
+        before.saturating_sub(self.updates.len())
+    }
+}
+
 impl Update {
+    fn is_valid(&self) -> bool {
+        let has_ports = |card: &Card| card.link.port() != 0 && card.datagram.port() != 0;
+        self.revision <= MAX_REVISION && self.card.as_ref().is_none_or(has_ports)
+    }
+
     /// An upper bound on the encoded length, in bytes.
     pub fn max_encoded_len(&self) -> usize {
-        let card =
-            |card: &Card| CARD_BASE_LEN + card.domain.as_str().len() + card.pool.as_str().len();
-        UPDATE_BASE_LEN + self.instance.as_str().len() + self.card.as_ref().map_or(0, card)
+        let card = |card: &Card| {
+            let names = [card.domain.as_str(), card.pool.as_str()];
+            CARD_BASE_LEN.saturating_add(names.iter().map(|name| name.len()).sum())
+        };
+        UPDATE_BASE_LEN
+            .saturating_add(self.instance.as_str().len())
+            .saturating_add(self.card.as_ref().map_or(0, card))
     }
 }
--- a/src/process/metric.rs
+++ b/src/process/metric.rs
@@ -125,6 +125,8 @@
     DatagramDropped,
     /// Announcements of upstreams that could not be read.
     AnnouncementRefused,
+    /// Gossiped member records that were ignored because of an invalid number or address.
+    MemberRecordRefused,
     /// Refusals that would have said that a request was not run while the outcome of its
     /// attempt was not known.
     OutcomeUnproven,
--- a/src/process/node/fleet.rs
+++ b/src/process/node/fleet.rs
@@ -52,6 +52,7 @@
         Status, //
     },
     message::Message,
+    metric::Counter,
     store, //
 };
 
@@ -298,7 +299,7 @@
                     .seeder
                     .handle_answer(now, answer, &mut self.gossip.rng);
                 let addresses = peers.into_iter().map(|peer| peer.datagram);
-                self.gossip.agent.add_seeds(addresses);
+                self.gossip.agent.add_listed_seeds(addresses);
             }
             Some(Purpose::Watch) => {
                 let outcome = self.gossip.watch.answer(now, answer, &mut self.gossip.rng);
@@ -389,6 +390,9 @@
             &mut self.gossip.rng,
             &mut sends,
         );
+        for _ in 0..self.gossip.agent.take_refused_records() {
+            self.counts.add(Counter::MemberRecordRefused);
+        }
         self.send_gossip(now, sends, out);
         let Some(peer) = self.members.by_datagram_address(from) else {
             return;
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -23,6 +23,8 @@
 mod listed;
 #[path = "fleet/membership.rs"]
 mod membership;
+#[path = "fleet/odd_messages.rs"]
+mod odd_messages;
 #[path = "fleet/propagation.rs"]
 mod propagation;
 #[path = "fleet/site.rs"]
