Pass on no more domains in probes than fit

Probes and their answers carry an age for each domain that the sender has heard of, by the hash of its name. Hashes from one spoilt datagram were kept for good and passed on by everyone; some hundred of them made probes longer than a datagram, which receivers drop: nodes that live would be suspected by all.

A hash is forgotten once its age is unknown on the wire (51 s), and the 64 domains heard of last are passed on.

--- a/src/version/freshness.rs
+++ b/src/version/freshness.rs
@@ -13,7 +13,10 @@
 //!
 //! docs/design/freshness.md gives the argument and the cost of either mistake.
 
-use std::collections::BTreeMap;
+use std::{
+    cmp::Reverse,
+    collections::BTreeMap, //
+};
 
 use serde::{
     Deserialize,
@@ -48,6 +51,11 @@
 const SILENT_DIVISOR: usize = 3;
 /// Bytes per domain on the wire: two of hash and one of age.
 const DOMAIN_ENTRY_BYTES: usize = 3;
+/// Maximum number of domains in a message, the most recently heard of. It keeps the
+/// message within a datagram whatever hashes other nodes report.
+const MAX_DOMAINS: usize = 64;
+/// The age from which on it is unknown on the wire.
+const MAX_DOMAIN_AGE: Span = domain_age(u8::MAX);
 
 /// The part of a membership message that describes the sender's configuration.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -124,17 +132,17 @@
             return;
         }
         self.last_sent.insert(domain_hash(domain), now);
-        for entry in status.domains.chunks_exact(DOMAIN_ENTRY_BYTES) {
-            let age = Span::from_ms(u64::from(entry[2]) * DOMAIN_AGE_STEP.as_ms());
-            if entry[2] < u8::MAX {
-                let at = time_before(now, age);
-                let known = self
-                    .last_sent
-                    .entry(u16::from_be_bytes([entry[0], entry[1]]));
+        let (entries, _) = status.domains.as_chunks::<DOMAIN_ENTRY_BYTES>();
+        for [high, low, steps] in entries {
+            if *steps < u8::MAX {
+                let at = time_before(now, domain_age(*steps));
+                let known = self.last_sent.entry(u16::from_be_bytes([*high, *low]));
                 let known = known.or_insert(at);
                 *known = (*known).max(at);
             }
         }
+        self.last_sent
+            .retain(|_, at| now.since(*at) < MAX_DOMAIN_AGE);
         // A confirmation of a newer version doesn't confirm the one in force
         // here: it only shows that this node is behind.
         if let Some(age) = status.age
@@ -148,8 +156,10 @@
     /// Returns the status to send to other members; the domains only if asked for.
     pub fn status(&self, now: Time, version: Version, with_domains: bool) -> ConfigStatus {
         let steps = |span: Span, step: Span| span.as_ms().div_ceil(step.as_ms());
+        let mut domains: Vec<_> = self.last_sent.iter().filter(|_| with_domains).collect();
+        domains.sort_by_key(|(_, at)| Reverse(**at));
         let mut bytes = Vec::new();
-        for (domain, at) in self.last_sent.iter().filter(|_| with_domains) {
+        for (domain, at) in domains.into_iter().take(MAX_DOMAINS) {
             bytes.extend(domain.to_be_bytes());
             bytes.push(steps(now.since(*at), DOMAIN_AGE_STEP).min(255) as u8);
         }
@@ -197,6 +207,10 @@
     xxh3_64(domain.as_str().as_bytes()) as u16
 }
 
+const fn domain_age(steps: u8) -> Span {
+    Span::from_ms((steps as u64).saturating_mul(DOMAIN_AGE_STEP.as_ms()))
+}
+
 fn time_before(now: Time, age: Span) -> Time {
     Time::from_ms(now.as_ms().saturating_sub(age.as_ms()))
 }
--- a/tests/fleet/odd_messages.rs
+++ b/tests/fleet/odd_messages.rs
@@ -10,7 +10,10 @@
         Time, //
     },
     frame::Frame,
-    freshness::ConfigStatus,
+    freshness::{
+        ConfigStatus,
+        Freshness, //
+    },
     id::{
         Domain,
         Incarnation,
@@ -176,6 +179,43 @@
     assert!(asked.iter().all(|address| address.port() != 0));
 }
 
+/// Guards against probes that no longer fit a datagram, at every node that heard of
+/// the domains in a spoilt one.
+#[test]
+fn hashes_of_unknown_domains_do_not_fill_the_probes() {
+    let mut freshness = Freshness::default();
+    let version = Version(1);
+    let own = domain();
+    for round in 0..4_u16 {
+        let mut domains = Vec::new();
+        for hash in 0..450_u16 {
+            domains.extend((round * 450 + hash).to_be_bytes());
+            domains.push(0);
+        }
+        let odd = ConfigStatus {
+            version,
+            age: None,
+            domains: ByteBuf::from(domains),
+        };
+        freshness.record_status(NOW, &own, &odd, version);
+    }
+    let later = NOW + Span::from_secs(1);
+    freshness.record_status(later, &own, &ConfigStatus::default(), version);
+    let news = freshness.status(later, version, true);
+    let probe = Message::Member(member::Message {
+        kind: Kind::Ping { number: 1, tag: 1 },
+        news: news.clone(),
+        updates: vec![update(0, 1, 8000), update(1, 1, 8000)],
+    });
+    let length = probe.encode().expect("bytes").len();
+    assert!(length <= DATAGRAM_LIMIT, "{length}");
+    // The domain heard of last is among those passed on.
+    assert_eq!(news.domains.get(2), Some(&0));
+    let much_later = later + Span::from_secs(60);
+    freshness.record_status(much_later, &own, &ConfigStatus::default(), version);
+    assert_eq!(freshness.status(much_later, version, true).domains.len(), 3);
+}
+
 /// Guards against bytes at which a decoder reserves what they claim, or recurses until
 /// the stack ends.
 fn refused(bytes: &[u8]) {
