Take only listings and changes for a watcher's answer

News of a watcher hold an answer of the store of any kind. One that is neither a listing nor changes counted as a failed call to the store: the node dropped the revision that it had, and asked the same watcher again. It counts as no data now, as an answer that cannot be read does, and the node turns to another watcher.

Evidence: `watcher_answers_with_*` and `watcher_answers_that_a_lease_expired` failed on the code before.

--- a/src/process/feed.rs
+++ b/src/process/feed.rs
@@ -26,6 +26,7 @@
         BTreeSet,
         VecDeque, //
     },
+    fmt,
     io::{
         Read,
         Write, //
@@ -171,20 +172,15 @@
 
     /// Returns the answer, of up to [`MAX_ANSWER_BYTES`] if it is compressed.
     fn into_answer(self) -> Result<Answer> {
-        let Some(compressed) = self.compressed else {
-            return match self.packed.is_empty() {
-                true => Ok(self.answer),
-                false => Err(Error::new(
-                    error::Code::Frame,
-                    "the watcher runs an earlier version",
-                )),
-            };
+        let answer = match self.compressed {
+            Some(compressed) => decompress(&compressed)?,
+            None if self.packed.is_empty() => self.answer,
+            None => return Err(invalid_answer("the watcher runs an earlier version")),
         };
-        let reader = DeflateDecoder::new(compressed.as_slice()).take(MAX_ANSWER_BYTES);
-        ciborium::from_reader(reader).map_err(|error| {
-            let reason = format!("compressed answer of a watcher: {error}");
-            Error::new(error::Code::Frame, reason)
-        })
+        match answer {
+            Answer::Listing { .. } | Answer::Changes { .. } => Ok(answer),
+            _ => Err(invalid_answer("neither a listing nor changes")),
+        }
     }
 }
 
@@ -199,6 +195,16 @@
     }
 }
 
+fn decompress(compressed: &[u8]) -> Result<Answer> {
+    let reader = DeflateDecoder::new(compressed).take(MAX_ANSWER_BYTES);
+    ciborium::from_reader(reader).map_err(invalid_answer)
+}
+
+fn invalid_answer(reason: impl fmt::Display) -> Error {
+    let reason = format!("answer of a watcher: {reason}");
+    Error::new(error::Code::Frame, reason)
+}
+
 fn compress(answer: &Answer) -> Option<ByteBuf> {
     let mut encoded = Vec::new();
     ciborium::into_writer(answer, &mut encoded).ok()?;
--- a/tests/fleet/odd_messages.rs
+++ b/tests/fleet/odd_messages.rs
@@ -1,7 +1,10 @@
 //! Datagrams, frames and lists that another writer has spoilt: each costs itself
 //! alone.
 
-use std::net::SocketAddr;
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr, //
+};
 
 use bluebellswitch::{
     backpressure::Hint,
@@ -9,6 +12,16 @@
         Span,
         Time, //
     },
+    contact::{
+        Contact,
+        Limits, //
+    },
+    feed::{
+        News,
+        Reason,
+        Subscriber,
+        Topic, //
+    },
     frame::Frame,
     freshness::{
         ConfigStatus,
@@ -216,6 +229,34 @@
     assert_eq!(freshness.status(much_later, version, true).domains.len(), 3);
 }
 
+/// Guards against a node that drops what it knows, and asks the same watcher again,
+/// after an answer that no watcher gives.
+fn no_answer(answer: &str) {
+    let mut subscriber = Subscriber::default();
+    let limits = Limits::within(Span::from_secs(2));
+    let contact = Contact::new(limits);
+    subscriber.request(Topic::Members, None);
+    let question = subscriber.next_question(NOW, &name(0), &name(1), &contact);
+    assert!(question.is_some());
+    let news: News =
+        serde_json::from_str(&format!(r#"{{"answer":{answer},"age":"0ms"}}"#)).expect("news");
+    let news = BTreeMap::from([(Topic::Members, news)]);
+    let updates = subscriber.handle_reply(NOW, 1, Span::ZERO, news, Span::from_secs(2));
+    assert_eq!(updates, []);
+    let reasons: Vec<_> = subscriber.take_abandoned();
+    assert_eq!(
+        reasons.first().map(|left| left.reason),
+        Some(Reason::NoData)
+    );
+}
+
+cases! { no_answer:
+    watcher_answers_with_a_write => (r#"{"Swapped":5}"#),
+    watcher_answers_with_a_lease => (r#"{"Leased":{"lease":1,"ttl":"5s"}}"#),
+    watcher_answers_that_a_lease_expired => (r#""Expired""#),
+    watcher_answers_with_values => (r#"{"Values":[]}"#),
+}
+
 /// Guards against bytes at which a decoder reserves what they claim, or recurses until
 /// the stack ends.
 fn refused(bytes: &[u8]) {
