Adopt no version that nothing follows

A document of version 2^64-1, in the store or from a peer, was adopted by all 13 nodes of the test, and every later version was "older" for good; the next change by an operator overflowed. A peer that reported such a version was pulled from again and again.

Versions above 2^53 are refused when a document is decoded or offered, and a report of one is ignored; the last good version stays.

--- a/src/version/adoption.rs
+++ b/src/version/adoption.rs
@@ -44,6 +44,7 @@
         Time, //
     },
     document::{
+        self,
         Document,
         Shared,
         Snapshot, //
@@ -170,7 +171,8 @@
         {
             return None;
         }
-        let snapshot = match Snapshot::parse(&document) {
+        let valid = document::check_version(document.version);
+        let snapshot = match valid.and_then(|()| Snapshot::parse(&document)) {
             Ok(snapshot) => snapshot,
             Err(error) => {
                 counts.add(Counter::Invalid);
@@ -204,7 +206,11 @@
         from: &Instance,
         version: Version,
     ) -> Option<Instance> {
-        if version <= self.version() || self.fault.as_ref().is_some_and(|f| f.version == version) {
+        let is_valid = document::check_version(version).is_ok();
+        if !is_valid
+            || version <= self.version()
+            || self.fault.as_ref().is_some_and(|f| f.version == version)
+        {
             return None;
         }
         if self
--- a/src/version/document.rs
+++ b/src/version/document.rs
@@ -38,6 +38,10 @@
 /// The maximum size of an encoded document, in bytes.
 pub const LIMIT: usize = 1 << 20;
 
+/// The highest version that is adopted: the largest integer that every JSON parser
+/// reads exactly. No version could follow a much higher one.
+pub const MAX_VERSION: Version = Version(1 << 53);
+
 /// The stored configuration: the operators' tables, teams and change history.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -145,11 +149,13 @@
     ///
     /// Returns an error if the text is not a valid document.
     pub fn decode(text: &str) -> Result<Self> {
-        serde_json::from_str(text).map_err(|error| {
+        let document: Self = serde_json::from_str(text).map_err(|error| {
             Error::new(Code::StoreData, error.to_string())
                 .at(error.line(), error.column())
                 .within(KEY)
-        })
+        })?;
+        check_version(document.version).map_err(|error| error.within(KEY))?;
+        Ok(document)
     }
 
     /// Whether the history contains the change with this id.
@@ -158,6 +164,21 @@
     }
 }
 
+/// Refuses a version above [`MAX_VERSION`].
+///
+/// # Errors
+///
+/// Returns an error if the version is too high.
+pub fn check_version(version: Version) -> Result<()> {
+    match version <= MAX_VERSION {
+        true => Ok(()),
+        false => Err(Error::new(
+            Code::StoreData,
+            format!("version {version} is above {MAX_VERSION}"),
+        )),
+    }
+}
+
 /// A parsed and validated document, as used to handle requests.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Snapshot {
--- a/tests/fleet/adoption.rs
+++ b/tests/fleet/adoption.rs
@@ -4,6 +4,7 @@
     clock::Span,
     code::Code,
     context::Importance,
+    id::Version,
     metric::Counter,
     standin::ledger::{
         End,
@@ -153,6 +154,11 @@
         document.routes = "[{\"name\": 3}]".into();
         serde_json::to_string(&document).expect("text")
     }),
+    a_version_that_nothing_follows => (|| {
+        let mut document = document(2, &["k1"]);
+        document.version = Version(u64::MAX);
+        serde_json::to_string(&document).expect("text")
+    }),
 }
 
 /// An instance starts while the store is out. It gets the configuration from
