Decode the rows of the store one by one

Callers saw: one row of a listing with a number out of range, or nested deeper than 128 levels, in any field, and the whole fleet stopped following its lists: all nodes unready for the rest of the run, restarted ones too.

Cause: listings and events were parsed into `serde_json::Value` at once. Its parser refuses the whole text for one such number, depth or string. Conflicts and reads were typed, with the same result. A value that could not be decoded was reported as a deletion, and a page without a readable key ended the listing as if it were whole.

A row whose value or revision cannot be read is present without a value. One whose key cannot be read makes the listing `Answer::Partial`, which ends no member and no evacuation; so does a page without any readable key before the last one. Each such row is counted (`row_unreadable`) and logged once.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -104,7 +104,8 @@
         export,
         intake,
         links,
-        probe, //
+        probe,
+        reported, //
     },
     request::pending,
     version::source,
--- a/src/process/carrier.rs
+++ b/src/process/carrier.rs
@@ -293,6 +293,12 @@
         self.counts.borrow()
     }
 
+    /// How many rows of the store's answers could not be read so far.
+    pub(crate) fn unreadable_rows(&self) -> u64 {
+        let store = self.store.as_ref();
+        store.map_or(0, |store| store.unreadable_rows())
+    }
+
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.get()
     }
@@ -717,6 +723,9 @@
             peer:% = peer.instance, pool:% = peer.pool, domain:% = peer.domain, ready = peer.ready,
             life:% = peer.incarnation, status:% = peer.status; "a member is there"
         ),
+        LogEvent::RecordInvalid { key, revision } => log::warn!(
+            key = key.as_str(), revision = revision.0; "a member's record is not valid"
+        ),
         LogEvent::MemberUnlisted(name) => {
             log::warn!(peer:% = name; "a member has no record, but answers over its link")
         }
--- a/src/process/contact.rs
+++ b/src/process/contact.rs
@@ -83,7 +83,7 @@
         Answer::Changes { changes, .. } if changes.is_empty() && now.since(sent) >= wait => {
             Some(sent + wait)
         }
-        Answer::Changes { .. } | Answer::Listing { .. } => Some(sent),
+        Answer::Changes { .. } | Answer::Listing { .. } | Answer::Partial { .. } => Some(sent),
         _ => None,
     }
 }
@@ -106,7 +106,9 @@
     pub fn of(answer: &Answer) -> Self {
         match answer {
             Answer::Changes { changes, .. } if changes.is_empty() => Self::Unchanged,
-            Answer::Changes { .. } | Answer::Listing { .. } => Self::Changed,
+            Answer::Changes { .. } | Answer::Listing { .. } | Answer::Partial { .. } => {
+                Self::Changed
+            }
             Answer::Compacted => Self::Compacted,
             _ => Self::Failed,
         }
--- a/src/process/export.rs
+++ b/src/process/export.rs
@@ -134,6 +134,7 @@
         for (counter, count) in sources.into_iter().flat_map(Counts::iter) {
             *totals.entry(counter).or_default() += count;
         }
+        totals.insert(Counter::RowUnreadable, self.carrier.unreadable_rows());
         let mut exported = self.exported.borrow_mut();
         for (counter, count) in totals {
             let previous = exported.insert(counter, count).unwrap_or(0);
--- a/src/process/feed.rs
+++ b/src/process/feed.rs
@@ -190,7 +190,9 @@
 
 fn value_bytes(answer: &Answer) -> usize {
     match answer {
-        Answer::Listing { entries, .. } => entries.iter().map(|entry| entry.value.len()).sum(),
+        Answer::Listing { entries, .. } | Answer::Partial { entries, .. } => {
+            entries.iter().map(|entry| entry.value.len()).sum()
+        }
         Answer::Changes { changes, .. } => {
             let entries = changes.iter().filter_map(|change| change.entry.as_ref());
             entries.map(|entry| entry.value.len()).sum()
@@ -246,11 +248,7 @@
     /// changes, so that nodes which know the former entries need no listing.
     fn apply_listing(&mut self, entries: &[Entry], at: Revision, confirmation: Confirmation) {
         let listed: BTreeSet<_> = entries.iter().map(|entry| &entry.key).collect();
-        let is_new = |entry: &&Entry| self.entries.get(&entry.key) != Some(*entry);
-        let updated = entries.iter().filter(is_new).map(|entry| Change {
-            key: entry.key.clone(),
-            entry: Some(entry.clone()),
-        });
+        let updated = self.updated(entries);
         let absent = self.entries.keys().filter(|key| !listed.contains(key));
         let removed = absent.map(|key| Change {
             key: key.clone(),
@@ -261,6 +259,22 @@
         self.apply_changes(&changes, at, confirmation);
     }
 
+    /// Applies a listing that lacks some entries. Those that it has not are kept.
+    fn apply_partial(&mut self, entries: &[Entry], at: Revision, confirmation: Confirmation) {
+        let changes: Vec<_> = self.updated(entries).collect();
+        self.is_contiguous = true;
+        self.apply_changes(&changes, at, confirmation);
+    }
+
+    /// The listed entries that differ from the known ones.
+    fn updated<'a>(&'a self, entries: &'a [Entry]) -> impl Iterator<Item = Change> + 'a {
+        let is_new = |entry: &&Entry| self.entries.get(&entry.key) != Some(*entry);
+        entries.iter().filter(is_new).map(|entry| Change {
+            key: entry.key.clone(),
+            entry: Some(entry.clone()),
+        })
+    }
+
     fn apply_changes(&mut self, changes: &[Change], at: Revision, confirmation: Confirmation) {
         self.confirmed_at = self.confirmed_at.max(confirmation.confirmed_at);
         self.heard_at = self.heard_at.max(confirmation.heard_at);
@@ -439,6 +453,13 @@
                     self.logs.insert(topic, TopicLog::new(entries, *at, sent));
                 }
             },
+            Answer::Partial { entries, at } => match self.logs.get_mut(&topic) {
+                Some(log) if log.revision > *at => {}
+                Some(log) => log.apply_partial(entries, *at, sent),
+                None => {
+                    self.logs.insert(topic, TopicLog::new(entries, *at, sent));
+                }
+            },
             Answer::Changes { changes, at } => {
                 // Only contiguous changes may be appended: after a gap, the changes
                 // in between would be missing.
--- a/src/process/metric.rs
+++ b/src/process/metric.rs
@@ -117,6 +117,10 @@
     WatcherAbandoned(feed::Reason),
     /// Calls to the store for members or configuration that failed.
     WatchFailed(feed::Topic),
+    /// Rows in responses of the store that could not be read.
+    RowUnreadable,
+    /// Records of members in the store that were not accepted.
+    RecordInvalid,
     /// Checks of the store, by topic, after it had not been heard of for too long.
     StoreChecked(feed::Topic),
     /// Frames or links of peers that failed to authenticate with the fleet secret.
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -22,6 +22,7 @@
 pub mod quota;
 pub(crate) mod recorder;
 pub(crate) mod relay;
+pub(crate) mod reported;
 pub mod server;
 pub mod settings;
 pub mod store;
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -107,6 +107,13 @@
     MemberChanged(member::Peer),
     /// A member was removed from the membership table.
     MemberRemoved(id::Instance),
+    /// An entry under a member's key in the store is no record of that member.
+    RecordInvalid {
+        /// The key.
+        key: String,
+        /// The revision of the entry.
+        revision: id::Revision,
+    },
     /// A member without a record in the store is kept, as it answers over its link.
     MemberUnlisted(id::Instance),
     /// The warm-up status of the local upstream changed.
--- a/src/process/store.rs
+++ b/src/process/store.rs
@@ -30,7 +30,8 @@
         /// The key of the value.
         key: String,
     },
-    /// Reads one value, which may be some seconds old. Cheaper than [`Call::Get`].
+    /// Reads one value, which may be some seconds old. Cheaper than [`Call::Get`], and also
+    /// answered if the revision cannot be read.
     Peek {
         /// The key of the value.
         key: String,
@@ -166,9 +167,9 @@
 pub struct Entry {
     /// The key.
     pub key: String,
-    /// The value.
+    /// The value; empty if it is not valid text.
     pub value: String,
-    /// The revision of the write. Revisions count all writes to the service.
+    /// The revision of the write; zero if it cannot be read. Revisions count all writes to the service.
     pub revision: Revision,
 }
 
@@ -195,6 +196,13 @@
         /// The revision from which to follow their changes.
         at: Revision,
     },
+    /// Some of the values: others could not be read, so a value that is missing may exist.
+    Partial {
+        /// The values.
+        entries: Vec<Entry>,
+        /// The revision from which to follow their changes.
+        at: Revision,
+    },
     /// The changes, in order; empty if the wait timed out.
     Changes {
         /// The changes, oldest first.
@@ -229,4 +237,9 @@
 pub trait Store {
     /// Makes a call. Every failure is reported as [`Answer::Lost`].
     fn call(&self, call: Call) -> Pin<Box<dyn Future<Output = Answer>>>;
+
+    /// How many rows of its answers could not be read so far.
+    fn unreadable_rows(&self) -> u64 {
+        0
+    }
 }
--- a/src/version/follow.rs
+++ b/src/version/follow.rs
@@ -144,7 +144,7 @@
             return Update::Nothing;
         };
         match answer {
-            Answer::Listing { .. } | Answer::Changes { .. } => {
+            Answer::Listing { .. } | Answer::Partial { .. } | Answer::Changes { .. } => {
                 self.retry_delay = MIN_RETRY_DELAY;
                 let Some((at, update)) = self.apply(sent_at, answer) else {
                     self.next_at = now + ABSENT_VALUE_DELAY;
@@ -180,6 +180,11 @@
                 let mut entries = entries.into_iter();
                 (entries.find(|entry| entry.key == self.source.key), at)
             }
+            Answer::Partial { entries, at } => {
+                self.add_evacuations(&entries);
+                let mut entries = entries.into_iter();
+                (entries.find(|entry| entry.key == self.source.key), at)
+            }
             Answer::Changes { changes, at } => {
                 self.change_evacuations(&changes, at);
                 let ours = changes.into_iter().filter(|c| c.key == self.source.key);
@@ -224,6 +229,15 @@
         }
     }
 
+    /// Adds the evacuations of a listing that lacks some entries.
+    fn add_evacuations(&mut self, entries: &[Entry]) {
+        for entry in entries {
+            if let Some(domain) = (self.source.evacuated)(&entry.key) {
+                self.set_evacuation(domain, true, entry.revision);
+            }
+        }
+    }
+
     fn change_evacuations(&mut self, changes: &[Change], at: Revision) {
         for change in changes {
             if let Some(domain) = (self.source.evacuated)(&change.key) {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -18,6 +18,8 @@
 mod late_copy;
 #[path = "platform/names.rs"]
 mod names;
+#[path = "platform/odd_rows.rs"]
+mod odd_rows;
 #[path = "platform/path.rs"]
 mod path;
 #[path = "platform/site.rs"]
