Replace what another writer leaves under a node's name

Cause: a record was believed whatever it said, and replaced only by one of a higher incarnation. The node took its name's higher incarnation for a successor and left it alone; `previous.0 + 1` at its next start overflowed. A record that could not be read was an absent one: its member lapsed with the next listing.

Now - an incarnation above the clock of the year 2100 is refused wherever one is read, and the next one is found by checked arithmetic; - a record with a port of 0, or with a state that no node writes about itself, is invalid; an invalid record leaves its member as it is, is counted (`record_invalid`) and logged once; - a living node writes its record again when the store has another one under its name at a later revision than its own. If that claims a higher incarnation, the new record names it in `refutes`, and the others accept the lower incarnation; without it the order of incarnations stands, so a late write of a predecessor changes nothing. A record older than the applied one, by revision, is ignored; - a node that is leaving replaces and refutes nothing. A higher incarnation at the node's own address cannot be a living one. One at another address is contested three times, after which a living successor, which contests too, has won. Delays between repairs double from 200 ms to 20 s; - a first write that the store keeps failing to answer expects nothing any more, and an introducer whose revision cannot be read is replaced without expecting one.

--- a/src/id.rs
+++ b/src/id.rs
@@ -8,7 +8,9 @@
 
 use serde::{
     Deserialize,
-    Serialize, //
+    Deserializer,
+    Serialize,
+    de::Error as _, //
 };
 use serde_with::{
     DeserializeFromStr,
@@ -20,6 +22,11 @@
     Error, //
 };
 
+/// Random bits in an incarnation, below those of the clock.
+pub const INCARNATION_RANDOM_BITS: u32 = 22;
+/// No clock of a node shows a later time: the start of the year 2100, in Unix milliseconds.
+const MAX_CLOCK_MS: u64 = 4_102_444_800_000;
+
 /// The longest name, in bytes.
 const NAME_LIMIT: usize = 64;
 
@@ -86,11 +93,11 @@
 }
 
 macro_rules! numbers {
-    ($($(#[$doc:meta])* $name:ident($inner:ty), $format:literal;)*) => {$(
+    ($($(#[$doc:meta])* $name:ident($(#[$field:meta])* $inner:ty), $format:literal;)*) => {$(
         $(#[$doc])*
         #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
         #[serde(transparent)]
-        pub struct $name(pub $inner);
+        pub struct $name($(#[$field])* pub $inner);
 
         impl fmt::Display for $name {
             fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -112,7 +119,7 @@
 
 numbers! {
     /// One life of a node. A restart gets a higher one.
-    Incarnation(u64), "{:016x}";
+    Incarnation(#[serde(deserialize_with = "incarnation")] u64), "{:016x}";
     /// One life of an upstream, as the node beside it tells them apart.
     Upstream(u64), "{:016x}";
     /// The place of a request in its node's life.
@@ -139,6 +146,28 @@
     Grant(u64), "{}";
 }
 
+impl Incarnation {
+    /// The highest incarnation that is accepted from others.
+    pub const MAX: Self = Self(MAX_CLOCK_MS << INCARNATION_RANDOM_BITS);
+
+    /// The next incarnation; `None` after [`Incarnation::MAX`].
+    pub fn next(self) -> Option<Self> {
+        (self < Self::MAX).then(|| Self(self.0.saturating_add(1)))
+    }
+}
+
+/// Deserializes an incarnation that a clock can reach.
+fn incarnation<'de, D: Deserializer<'de>>(deserializer: D) -> std::result::Result<u64, D::Error> {
+    let number = u64::deserialize(deserializer)?;
+    match number <= Incarnation::MAX.0 {
+        true => Ok(number),
+        false => Err(D::Error::custom(format!(
+            "incarnation {number:016x} is above {}",
+            Incarnation::MAX
+        ))),
+    }
+}
+
 /// One attempt to run a request, never reused.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- a/src/process/directory.rs
+++ b/src/process/directory.rs
@@ -10,12 +10,25 @@
 //! member whose record is gone is therefore kept for [`LAPSE_GRACE`], which gives a
 //! live node time to register again. [`Change::Removed`] then says no more than that the
 //! record is missing: it does not show that the member has stopped.
+//!
+//! Every client of the store can write below the same keys. A record that cannot be read
+//! is not the absence of its member, and changes nothing. Records of a member are ordered
+//! by incarnation, because a lost write may take effect after its node was replaced. A
+//! living node replaces whatever another writer leaves under its name; where that claims a
+//! higher incarnation, its own record refutes it, so that the lower one is accepted again.
 
 mod listing;
 mod registration;
+mod repair;
 
 use std::collections::BTreeMap;
 
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use self::repair::Repair;
 use crate::{
     clock::{
         Span,
@@ -27,11 +40,16 @@
         Lease,
         Revision, //
     },
-    member::Peer,
+    member::{
+        Peer,
+        Status, //
+    },
     quota::bank,
+    reported::Reported,
     store::{
         Answer,
         Call,
+        Entry,
         Store, //
     },
 };
@@ -153,17 +171,52 @@
     expected_revision: Option<Revision>,
     /// The record in the store, as far as this node knows.
     stored: Option<Peer>,
+    /// The revision of that record.
+    stored_revision: Revision,
     pending_write: Option<Peer>,
     confirmed_at: Option<Time>,
     member_since: Option<MemberSince>,
 }
 
+/// A node's record in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Record {
+    #[serde(flatten)]
+    peer: Peer,
+    /// Incarnations of the instance above the record's own and up to this one do not exist.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    refutes: Option<Incarnation>,
+}
+
+impl Record {
+    /// Whether the record refutes what is known of its instance.
+    fn refutes(&self, known: &Peer) -> bool {
+        self.refutes
+            .is_some_and(|refuted| known.incarnation <= refuted)
+    }
+}
+
+/// An entry under a member's key that is no record of that member.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InvalidRecord {
+    /// The key.
+    pub key: String,
+    /// The revision of the entry.
+    pub revision: Revision,
+    /// Whether it was not returned before. An entry without a value is not new, as the
+    /// node that read it has reported it.
+    pub is_new: bool,
+}
+
 /// Watches the records of all members.
 #[derive(Clone, Debug)]
 struct Listing {
+    me: Instance,
     task: CallSchedule,
     revision: Option<Revision>,
     members: BTreeMap<Instance, Peer>,
+    /// The revisions of the members' records.
+    revisions: BTreeMap<Instance, Revision>,
     lapsed_at: BTreeMap<Instance, Time>,
     /// For each recent member, the send time of the last watch call whose answer
     /// did not contain its record yet.
@@ -172,6 +225,10 @@
     viewed_at: Option<Time>,
     /// Members whose record was overwritten by one of an earlier incarnation.
     overwritten: Vec<Instance>,
+    /// The last entry under this node's own key, and the record in it if there is one.
+    own: Option<(Revision, Option<Record>)>,
+    invalid: Vec<InvalidRecord>,
+    reported: Reported,
 }
 
 /// This node's registration and its view of the other members.
@@ -180,6 +237,9 @@
     me: Peer,
     registration: Registration,
     listing: Listing,
+    repair: Repair,
+    /// The highest incarnation under this node's name that does not exist.
+    refutes: Option<Incarnation>,
     leaving: bool,
 }
 
@@ -187,26 +247,34 @@
     /// Creates a directory that has no lease and no view of the members yet.
     pub fn new(me: Peer) -> Self {
         Self {
-            me,
             registration: Registration {
                 task: CallSchedule::new(),
                 lease: None,
                 expected_revision: Some(Revision::default()),
                 stored: None,
+                stored_revision: Revision::default(),
                 pending_write: None,
                 confirmed_at: None,
                 member_since: None,
             },
             listing: Listing {
+                me: me.instance.clone(),
                 task: CallSchedule::new(),
                 revision: None,
                 members: BTreeMap::new(),
+                revisions: BTreeMap::new(),
                 lapsed_at: BTreeMap::new(),
                 joined_at: BTreeMap::new(),
                 viewed_at: None,
                 overwritten: Vec::new(),
+                own: None,
+                invalid: Vec::new(),
+                reported: Reported::default(),
             },
+            repair: Repair::new(),
+            refutes: None,
             leaving: false,
+            me,
         }
     }
 
@@ -330,12 +398,27 @@
         let lapsed_at = self.listing.lapsed_at.values().min();
         let grace_end = lapsed_at.map_or(Time::NEVER, |at| *at + LAPSE_GRACE);
         let calls = self.registration.task.due().min(self.listing.task.due());
-        calls.min(grace_end)
+        // A write in flight may be older than the entry that is to be replaced.
+        let repair = match self.registration.task.in_flight {
+            true => Time::NEVER,
+            false => self.repair.due(),
+        };
+        calls.min(grace_end).min(repair)
+    }
+
+    /// Takes the entries seen since the last call that are no records of members.
+    pub fn take_invalid(&mut self) -> Vec<InvalidRecord> {
+        std::mem::take(&mut self.listing.invalid)
     }
 
     /// Adds the store calls that are due to `calls`, and returns the members whose
     /// grace period is over.
     pub fn tick(&mut self, now: Time, calls: &mut Vec<(Purpose, Call)>) -> Vec<Change> {
+        let may_repair = !self.registration.task.in_flight && !self.is_leaving();
+        if may_repair && self.repair.take_due(now) {
+            self.registration.stored = None;
+            self.schedule_registration(now);
+        }
         if self.registration.task.due() <= now {
             match self.next_registration_call(now) {
                 Some(call) => {
@@ -356,6 +439,8 @@
     }
 
     fn next_registration_call(&mut self, now: Time) -> Option<Call> {
+        // A successor may exist once this node leaves, so it refutes nothing.
+        let refutes = self.refutes.filter(|_| !self.is_leaving());
         let registration = &mut self.registration;
         let lapsed = registration
             .confirmed_at
@@ -376,7 +461,11 @@
         if is_stored || (has_written && registration.task.is_failing()) {
             return Some(Call::Renew { lease });
         }
-        let value = serde_json::to_string(&self.me).ok()?;
+        let record = Record {
+            peer: self.me.clone(),
+            refutes,
+        };
+        let value = serde_json::to_string(&record).ok()?;
         registration.pending_write = Some(self.me.clone());
         let key = record_key(&self.me.instance);
         let lease = Some(lease);
@@ -395,7 +484,8 @@
     pub fn handle_answer(&mut self, now: Time, purpose: Purpose, answer: Answer) -> Vec<Change> {
         match purpose {
             Purpose::Register => {
-                self.registration.handle_answer(now, answer, self.leaving);
+                let refuted = self.registration.handle_answer(now, answer, self.leaving);
+                self.refutes = self.refutes.max(refuted);
                 let stored = self.registration.stored.as_ref();
                 if !self.registration.task.is_failing()
                     && stored.is_some_and(|stored| *stored != self.me)
@@ -445,6 +535,44 @@
             self.registration.stored = None;
             self.schedule_registration(now);
         }
+        let own = self.listing.own.take();
+        if let Some((revision, record)) = own
+            && !self.is_leaving()
+            && self.is_foreign(revision, record.as_ref())
+        {
+            self.repair.request(now);
+        }
+    }
+
+    /// Whether an entry under this node's key is to be replaced, because this process did
+    /// not write it. If it claims a higher incarnation, that is refuted from now on.
+    fn is_foreign(&mut self, revision: Revision, record: Option<&Record>) -> bool {
+        let registration = &self.registration;
+        let is_registered = registration.expected_revision.is_none();
+        let is_outdated =
+            revision != Revision::default() && revision <= registration.stored_revision;
+        if !is_registered || is_outdated {
+            return false;
+        }
+        let Some(record) = record else {
+            return true;
+        };
+        let peer = &record.peer;
+        if peer.incarnation <= self.me.incarnation {
+            let written = [&registration.stored, &registration.pending_write];
+            let is_own = *peer == self.me || written.into_iter().flatten().any(|own| own == peer);
+            return !is_own;
+        }
+        // This process listens at its address, so no living node has the same.
+        let is_contested = peer.link == self.me.link || self.repair.contest(peer.incarnation);
+        if is_contested {
+            self.refutes = self.refutes.max(Some(peer.incarnation));
+        }
+        is_contested
+    }
+
+    fn is_leaving(&self) -> bool {
+        self.leaving || self.me.status == Status::Leaving
     }
 }
 
@@ -464,7 +592,7 @@
     let Ok(Answer::Value(Some(entry))) = answer else {
         return None;
     };
-    parse_record(&entry.key, &entry.value).map(|peer| peer.incarnation)
+    parse_record(&entry).map(|record| record.peer.incarnation)
 }
 
 /// The store call that waits for changes to the records after a revision.
@@ -476,10 +604,18 @@
     format!("{RECORD_PREFIX}{instance}")
 }
 
-/// Parses a record; `None` if it is malformed or its key does not match the
-/// instance that it describes.
-fn parse_record(key: &str, value: &str) -> Option<Peer> {
-    let peer: Peer = serde_json::from_str(value).ok()?;
-    let name = key.strip_prefix(RECORD_PREFIX)?;
-    (peer.instance.as_str() == name).then_some(peer)
+/// Parses a record; `None` if it is malformed, its key does not match the instance that it
+/// describes, or it says what no node says of itself.
+fn parse_record(entry: &Entry) -> Option<Record> {
+    let record: Record = serde_json::from_str(&entry.value).ok()?;
+    let name = entry.key.strip_prefix(RECORD_PREFIX)?;
+    let is_valid = record.peer.instance.as_str() == name && is_self_description(&record.peer);
+    is_valid.then_some(record)
+}
+
+/// Whether a node may say this of itself.
+pub(crate) fn is_self_description(peer: &Peer) -> bool {
+    peer.link.port() != 0
+        && peer.datagram.port() != 0
+        && matches!(peer.status, Status::Alive | Status::Leaving)
 }
--- a/src/process/directory/registration.rs
+++ b/src/process/directory/registration.rs
@@ -1,6 +1,7 @@
 //! Applies answers of the store to the registration of this node.
 
 use super::{
+    MAX_BACKOFF,
     MemberSince,
     RENEWAL_INTERVAL,
     Registration,
@@ -8,7 +9,10 @@
 };
 use crate::{
     clock::Time,
-    id::Revision,
+    id::{
+        Incarnation,
+        Revision, //
+    },
     member::Peer,
     store::{
         Answer,
@@ -17,12 +21,20 @@
 };
 
 impl Registration {
-    pub(super) fn handle_answer(&mut self, now: Time, answer: Answer, leaving: bool) {
+    /// Handles an answer. Returns the incarnation of a record that this node is about to
+    /// replace although it is a higher one.
+    pub(super) fn handle_answer(
+        &mut self,
+        now: Time,
+        answer: Answer,
+        leaving: bool,
+    ) -> Option<Incarnation> {
         let sent = self.task.sent_at;
         let pending_write = self.pending_write.take();
         if leaving {
             self.lease = None;
-            return self.task.succeed(now + RENEWAL_INTERVAL);
+            self.task.succeed(now + RENEWAL_INTERVAL);
+            return None;
         }
         match answer {
             Answer::Leased { lease, .. } if self.lease.is_none() => {
@@ -36,7 +48,8 @@
                 self.task.succeed(sent + RENEWAL_INTERVAL);
             }
             Answer::Leased { .. } => self.task.succeed(now),
-            Answer::Swapped(_) => {
+            Answer::Swapped(revision) => {
+                self.stored_revision = revision;
                 if let Some(replaced) = self.expected_revision.take()
                     && replaced != Revision::default()
                 {
@@ -48,8 +61,8 @@
                 self.task.succeed(sent + RENEWAL_INTERVAL);
             }
             Answer::Conflict(present) => {
-                self.handle_conflict(pending_write.as_ref(), present);
                 self.task.succeed(now);
+                return self.handle_conflict(pending_write.as_ref(), present);
             }
             Answer::Expired => {
                 self.lease = None;
@@ -58,25 +71,37 @@
                 self.task.succeed(now);
             }
             // A lost write may have taken effect. Writing again is idempotent.
-            _ => self.task.fail(now),
+            _ => {
+                self.task.fail(now);
+                // The store may be unable to tell what it has: the next write expects nothing.
+                if self.task.backoff >= MAX_BACKOFF && self.lease.is_some() {
+                    self.expected_revision = None;
+                }
+            }
         }
+        None
     }
 
     /// Handles a first write that met another record than it expected: that of the
     /// previous incarnation, or its own if an earlier attempt took effect and its
     /// answer was lost. What that earlier attempt replaced is unknown, so an own
     /// record proves no uninterrupted membership.
-    pub(super) fn handle_conflict(&mut self, pending_write: Option<&Peer>, present: Option<Entry>) {
+    ///
+    /// Returns the incarnation of that record if it is a higher one.
+    pub(super) fn handle_conflict(
+        &mut self,
+        pending_write: Option<&Peer>,
+        present: Option<Entry>,
+    ) -> Option<Incarnation> {
         let Some(present) = present else {
             self.expected_revision = Some(Revision::default());
-            return;
+            return None;
         };
-        let record = parse_record(&present.key, &present.value);
-        let is_own = record.is_some_and(|record| {
-            pending_write
-                .is_some_and(|pending_write| record.incarnation == pending_write.incarnation)
-        });
+        let found = parse_record(&present).map(|record| record.peer.incarnation);
+        let own = pending_write.map(|peer| peer.incarnation);
+        let is_own = found.is_some() && found == own;
         self.expected_revision = (!is_own).then_some(present.revision);
+        found.filter(|found| Some(*found) > own)
     }
 
     pub(super) fn confirm_membership(&mut self, sent: Time) {
--- a/src/process/introducer.rs
+++ b/src/process/introducer.rs
@@ -17,6 +17,7 @@
         Span,
         Time, //
     },
+    directory,
     id::Revision,
     member::Peer,
     store::{
@@ -57,6 +58,9 @@
     backoff: Span,
     /// The revision that a claim replaces; zero if there is no introducer.
     replaces: Revision,
+    /// Whether there is an introducer whose revision cannot be read, so that a claim
+    /// cannot expect it.
+    is_unreadable: bool,
     /// When this node claims the role, if no introducer answers before.
     claim_at: Option<Time>,
     claims: u64,
@@ -73,6 +77,7 @@
             next_at: Time::ZERO,
             backoff: MIN_BACKOFF,
             replaces: Revision::default(),
+            is_unreadable: false,
             claim_at: None,
             claims: 0,
         }
@@ -113,13 +118,22 @@
         let key = self.key.clone();
         let may_claim = self.claim_at.is_some_and(|at| at <= now);
         Some(match may_claim {
-            true => Call::Swap {
+            true => self.claim(key)?,
+            false => Call::Peek { key },
+        })
+    }
+
+    fn claim(&self, key: String) -> Option<Call> {
+        let value = serde_json::to_string(&self.me).ok()?;
+        let lease = None;
+        Some(match self.is_unreadable {
+            true => Call::Put { key, value, lease },
+            false => Call::Swap {
                 key,
                 expect: self.replaces,
-                value: serde_json::to_string(&self.me).ok(),
-                lease: None,
+                value: Some(value),
+                lease,
             },
-            false => Call::Peek { key },
         })
     }
 
@@ -142,12 +156,14 @@
 
     fn handle_entry(&mut self, now: Time, entry: Option<Entry>) {
         let revision = entry.as_ref().map_or(Revision::default(), |e| e.revision);
+        self.is_unreadable = entry.is_some() && revision == Revision::default();
         // A read may be older than a conflict.
         if revision > self.replaces {
             self.replaces = revision;
             self.claim_at = None;
         }
         let peer = entry.and_then(|entry| serde_json::from_str::<Peer>(&entry.value).ok());
+        let peer = peer.filter(directory::is_self_description);
         self.state = match peer {
             Some(peer) if peer.instance == self.me.instance => State::Introducer(now),
             Some(peer) if peer.domain == self.me.domain => State::Introduced(peer),
--- a/src/process/node/listed.rs
+++ b/src/process/node/listed.rs
@@ -340,6 +340,15 @@
         let Some(mut discovery) = self.discovery.take() else {
             return;
         };
+        for invalid in discovery.directory.take_invalid() {
+            self.counts.add(Counter::RecordInvalid);
+            if invalid.is_new {
+                out.push(Action::Log(LogEvent::RecordInvalid {
+                    key: invalid.key,
+                    revision: invalid.revision,
+                }));
+            }
+        }
         let mut calls = Vec::new();
         let removed = discovery.directory.tick(now, &mut calls);
         for (purpose, call) in calls {
--- a/src/process/server.rs
+++ b/src/process/server.rs
@@ -202,7 +202,7 @@
             && let Some(store) = &store
             && let Some(previous) = directory::previous_incarnation(&**store, &me.instance).await
         {
-            me.incarnation = me.incarnation.max(id::Incarnation(previous.0 + 1));
+            me.incarnation = me.incarnation.max(previous.next().unwrap_or_default());
         }
         let mut core = Core::new(Identity {
             peer: me.clone(),
@@ -532,10 +532,6 @@
     }
 }
 
-/// Random bits in an incarnation, which distinguish nodes that started in the
-/// same millisecond.
-const INCARNATION_RANDOM_BITS: u32 = 22;
-
 /// Generates an incarnation that no other node has.
 ///
 /// Request IDs begin with the incarnation. Without the random bits, two nodes
@@ -543,8 +539,8 @@
 /// requests, and their answers would be mixed up. After a restart a node gets a
 /// higher incarnation because its clock has advanced.
 fn generate_incarnation() -> id::Incarnation {
-    let random = rand::random::<u64>() >> (u64::BITS - INCARNATION_RANDOM_BITS);
-    id::Incarnation(Clock.wall() << INCARNATION_RANDOM_BITS | random)
+    let random = rand::random::<u64>() >> (u64::BITS - id::INCARNATION_RANDOM_BITS);
+    id::Incarnation(Clock.wall() << id::INCARNATION_RANDOM_BITS | random)
 }
 
 /// Binds TCP for links and UDP for datagrams to the same port. A port that the
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -23,6 +23,8 @@
 mod listed;
 #[path = "fleet/membership.rs"]
 mod membership;
+#[path = "fleet/odd_records.rs"]
+mod odd_records;
 #[path = "fleet/propagation.rs"]
 mod propagation;
 #[path = "fleet/site.rs"]
--- a/tests/platform/odd_rows.rs
+++ b/tests/platform/odd_rows.rs
@@ -2,11 +2,15 @@
 
 use bluebellswitch::{
     clock::Span,
-    id::Revision,
+    id::{
+        Incarnation,
+        Revision, //
+    },
     platform::{
         standin::Store,
         store::Client, //
     },
+    standin::caller::Caller,
     store::{
         Answer,
         Call,
@@ -18,8 +22,18 @@
     prelude::*,
     test_runner::RngSeed, //
 };
+use serde_json::Value;
 
-use crate::site::run;
+use crate::site::{
+    HOST,
+    ID,
+    KEY,
+    Site,
+    configuration,
+    run,
+    until,
+    whole, //
+};
 
 /// The key whose row is malformed, between good ones.
 const ODD: &str = "n/2";
@@ -278,3 +292,93 @@
         });
     }
 }
+
+/// Guards against a fleet that stops following its lists because of one row in each, and
+/// that a node cannot join any more.
+fn fleet_goes_on(odd: &str) {
+    run(async {
+        let mut site = Site::start(|seen| whole(seen, "stock")).await;
+        for prefix in [
+            "bluebellswitch/nodes/",
+            "bluebellswitch/introducers/",
+            "op/",
+        ] {
+            site.store.put_raw(&format!("{prefix}raw-1"), odd);
+        }
+        site.store.put_raw("bluebellswitch/introducers/b", odd);
+        site.store.put_raw("bluebellswitch/nodes/b-2", odd);
+        // The nodes list again.
+        site.store.forget();
+        site.add("b-2", "b", "registry", |seen| whole(seen, "stock"))
+            .await;
+        site.store.put("op/config", &configuration(2).to_string());
+        for machine in &site.machines {
+            until("the configuration is in force", || async {
+                machine.node.version().0 == 2
+            })
+            .await;
+            until("a node is ready", || async { machine.ready().await == 200 }).await;
+        }
+        let newcomer = &site.machines[2].node;
+        let caller = Caller::new(newcomer.addresses().callers);
+        until("the newcomer answers", || async {
+            let answer = caller.get("/view/x", &[HOST, KEY, ID]).await;
+            answer.is_ok_and(|answer| answer.status == 200)
+        })
+        .await;
+        let operator = Caller::new(site.machines[0].node.addresses().operators);
+        until("the newcomer is a member", || async {
+            let answer = operator.get("/status", &[HOST]).await.expect("a status");
+            let status: Value = serde_json::from_slice(&answer.body).expect("JSON");
+            let members = status["members"].as_array().expect("members").iter();
+            let mut newcomers = members.filter(|member| member["instance"] == "b-2");
+            newcomers.any(|member| member["ready"] == true)
+        })
+        .await;
+    });
+}
+
+cases! { fleet_goes_on:
+    fleet_after_a_number_out_of_range => (
+        r#"{"key":"op/raw-1","value":"e30=","revision":7,"created":1e400,"lease":0}"#
+    ),
+    fleet_after_a_nested_row => (&{
+        let nested = nested();
+        format!(r#"{{"key":"op/raw-1","value":"e30=","revision":7,"lease":{nested}}}"#)
+    }),
+    fleet_after_a_row_without_a_key => ("null"),
+}
+
+/// Guards against a node that gets no requests any more because of one record with an
+/// incarnation that no clock reaches, or one far ahead.
+fn node_is_served_after(incarnation: u64) {
+    run(async {
+        let site = Site::start(|seen| whole(seen, "stock")).await;
+        let machine = &site.machines[1];
+        let mut record = machine.node.peer();
+        let good = record.incarnation;
+        record.incarnation.0 = incarnation;
+        let text = serde_json::to_string(&record).expect("text");
+        site.store.put("bluebellswitch/nodes/b-1", &text);
+        let client = Client::new(site.store.address());
+        until("the record is replaced", || async {
+            let key = "bluebellswitch/nodes/b-1".to_owned();
+            let Answer::Value(Some(entry)) = client.call(Call::Get { key }).await else {
+                panic!("no record");
+            };
+            entry.value.contains(&good.0.to_string())
+        })
+        .await;
+        let before = machine.server.seen().len();
+        until("the node is served", || async {
+            site.call("GET", "/view/x", "").await.status == 200
+        })
+        .await;
+        assert!(machine.server.seen().len() > before);
+    });
+}
+
+cases! { node_is_served_after:
+    incarnation_out_of_range => (u64::MAX),
+    incarnation_far_ahead => (Incarnation::MAX.0),
+}
