Test introducers that another writer names

A starting node asks the introducer that the store names. An entry that cannot be read, or that names a member of another domain, with a port of 0 or an incarnation out of range, must not keep the domain from having one: the node claims the role within the claim window, expecting the entry's revision, or nothing if that cannot be read.

--- a/tests/fleet/introducer.rs
+++ b/tests/fleet/introducer.rs
@@ -207,3 +207,44 @@
     introduction.handle_answer(now, Answer::Conflict(Some(entry("me", 8))));
     assert_eq!(introduction.introducer_since(), Some(now));
 }
+
+/// Guards against a domain without an introducer because an entry of another writer names
+/// nobody that can be asked.
+fn is_claimed(odd: Entry) {
+    let mut now = Time::from_ms(1000);
+    let mut introduction = Introduction::new(peer("me"));
+    while introduction.introducer_since().is_none() {
+        now = introduction.due().max(now);
+        assert!(now < Time::from_ms(4000), "the role is not claimed");
+        let answer = match introduction.tick(now) {
+            Some(Call::Peek { .. }) => Answer::Value(Some(odd.clone())),
+            Some(Call::Swap { expect, .. }) => {
+                assert_eq!(expect, odd.revision);
+                Answer::Swapped(Revision(9))
+            }
+            // What the store has at no known revision cannot be expected.
+            Some(Call::Put { .. }) if odd.revision == Revision(0) => Answer::Swapped(Revision(9)),
+            call => panic!("{call:?}"),
+        };
+        introduction.handle_answer(now, answer);
+    }
+}
+
+fn changed(change: impl FnOnce(&mut Peer)) -> Entry {
+    let mut odd = peer("other");
+    change(&mut odd);
+    Entry {
+        value: serde_json::to_string(&odd).expect("text"),
+        ..entry("other", 8)
+    }
+}
+
+cases! { is_claimed:
+    value_that_cannot_be_read => (Entry { value: String::new(), ..entry("other", 8) }),
+    revision_that_cannot_be_read => (Entry { value: String::new(), ..entry("other", 0) }),
+    value_that_is_no_member => (Entry { value: "[]".to_owned(), ..entry("other", 8) }),
+    another_domain => (changed(|peer| peer.domain = "b".parse().expect("a name"))),
+    port_of_zero => (changed(|peer| peer.link.set_port(0))),
+    incarnation_out_of_range => (changed(|peer| peer.incarnation.0 = u64::MAX)),
+    state_that_no_node_writes => (changed(|peer| peer.status = Status::Dead)),
+}
