--- a/src/lib.rs
+++ b/src/lib.rs
@@ -105,7 +105,8 @@
         export,
         intake,
         links,
-        probe, //
+        probe,
+        reported, //
     },
     request::pending,
     version::source,
--- a/src/process/server.rs
+++ b/src/process/server.rs
@@ -224,9 +224,9 @@
         if interface.configuration.is_some()
             && let Some(store) = &store
             && let Some(previous) = directory::previous_incarnation(&**store, &me.instance).await
-            && let Some(next) = previous.0.checked_add(1)
+            && let Some(next) = previous.next()
         {
-            me.incarnation = me.incarnation.max(id::Incarnation(next));
+            me.incarnation = me.incarnation.max(next);
         }
         let mut core = Core::new(Identity {
             peer: me.clone(),
@@ -596,10 +596,6 @@
     }
 }
 
-/// Random bits in an incarnation, which distinguish nodes that started in the
-/// same millisecond.
-const INCARNATION_RANDOM_BITS: u32 = 22;
-
 /// Generates an incarnation that no other node has.
 ///
 /// Request IDs begin with the incarnation. Without the random bits, two nodes
@@ -607,8 +603,8 @@
 /// requests, and their answers would be mixed up. After a restart a node gets a
 /// higher incarnation because its clock has advanced.
 fn generate_incarnation() -> id::Incarnation {
-    let random = rand::random::<u64>() >> (u64::BITS - INCARNATION_RANDOM_BITS);
-    id::Incarnation(Clock.wall() << INCARNATION_RANDOM_BITS | random)
+    let random = rand::random::<u64>() >> (u64::BITS - id::INCARNATION_RANDOM_BITS);
+    id::Incarnation(Clock.wall() << id::INCARNATION_RANDOM_BITS | random)
 }
 
 /// Binds TCP for links and UDP for datagrams to the same port. A port that the
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -25,6 +25,8 @@
 mod membership;
 #[path = "fleet/odd_messages.rs"]
 mod odd_messages;
+#[path = "fleet/odd_records.rs"]
+mod odd_records;
 #[path = "fleet/propagation.rs"]
 mod propagation;
 #[path = "fleet/site.rs"]
