Count what upstreams and peers send without overflow

What callers saw: an upstream whose answers carry `keep-alive: timeout=` made the task of its attempt panic in a build with overflow checks, so that the request got no answer before its deadline. A release build computed a short, arbitrary time instead. A clock or a fraction near the largest number, sent by another node, did the same to the decision core.

Cause: `Span::from_secs` multiplied, and the quota code added, figures from outside without a bound. `Time` and `Span` already saturate elsewhere.

The figures of peers have no test of their own.

Why it works: the sums stop at the largest value, which is later or more than anything they are compared with.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -82,9 +82,10 @@
         Self(ms)
     }
 
-    /// A length of `secs` seconds.
+    /// A length of `secs` seconds, or [`Span::MAX`] if it cannot be counted in
+    /// milliseconds.
     pub const fn from_secs(secs: u64) -> Self {
-        Self(secs * 1000)
+        Self(secs.saturating_mul(1000))
     }
 
     /// The length in milliseconds.
--- a/src/process/quota/bank/mint.rs
+++ b/src/process/quota/bank/mint.rs
@@ -320,7 +320,7 @@
         let before = self.bucket.millis();
         let free_capacity = self.free_capacity(now);
         self.bucket
-            .raise_to_millis((before + millis).min(free_capacity));
+            .raise_to_millis(before.saturating_add(millis).min(free_capacity));
         self.bucket.millis() - before
     }
 
@@ -330,7 +330,7 @@
         self.forget_old_requests(now);
         let reserve = self.reserved_millis(now, request.importance);
         let free = self.bucket.millis().saturating_sub(reserve);
-        let offered = free + request.brought_millis;
+        let offered = free.saturating_add(request.brought_millis);
         let tokens = (offered / MILLIS_PER_TOKEN).min(u64::from(request.want));
         let leaves_fraction =
             tokens == 0 && !request.last && self.part_count(now) < SERVERS_PER_TEAM as u64;
@@ -348,7 +348,8 @@
             millis: lent.max(tokens * MILLIS_PER_TOKEN),
             life: request.life.min(DEMAND_MEMORY),
         });
-        let rest = request.brought_millis + lent - tokens * MILLIS_PER_TOKEN;
+        let held = request.brought_millis.saturating_add(lent);
+        let rest = held - tokens * MILLIS_PER_TOKEN;
         LendReply {
             tokens: tokens as u32,
             fraction: match leaves_fraction {
--- a/src/process/quota/holder.rs
+++ b/src/process/quota/holder.rs
@@ -316,8 +316,9 @@
         {
             Some(clock_reading) => {
                 let passed = now.since(clock_reading.at).as_ms();
-                let clock = clock_reading.clock + passed - passed / CLOCK_DRIFT_DIVISOR;
-                StartLimit::Clock(clock + left.as_ms())
+                let passed = passed - passed / CLOCK_DRIFT_DIVISOR;
+                let clock = clock_reading.clock.saturating_add(passed);
+                StartLimit::Clock(clock.saturating_add(left.as_ms()))
             }
             None => StartLimit::Within(left - TRANSIT_ALLOWANCE),
         }
--- a/tests/path/upstream.rs
+++ b/tests/path/upstream.rs
@@ -42,6 +42,24 @@
     });
 }
 
+/// Guards against an attempt that ends without an answer, because its upstream keeps
+/// connections open for longer than can be counted in milliseconds.
+#[test]
+fn an_upstream_may_keep_connections_open_for_ever() {
+    run(async {
+        let timeout = format!("timeout={}", u64::MAX);
+        let site = Site::start(move |_| {
+            let headers = vec![("keep-alive", timeout.clone())];
+            Act::Answer(200, headers, Bytes::from_static(b"ok"))
+        });
+        let site = site.await;
+        for _ in 0..2 {
+            let answer = site.caller().send("POST", "/a", &[AUTH], "x").await;
+            assert_eq!(answer.expect("an answer").status, 200);
+        }
+    });
+}
+
 /// An upstream that does not announce itself is found by its health endpoint.
 /// An ill answer does not take it away, as the endpoint may mislead; and once
 /// it said that it leaves, the endpoint cannot bring it back, as it may lag.
