Answer for a request, link or store call that panics

What callers saw: a panic in the task of a connection, request, link, body or attempt ended the task. A caller's connection closed without an answer, an announcement got none, and both stayed counted among the open connections until the node accepted no more. A link whose task had ended stayed in the table, so that its peer was not dialed again.

Cause: spawned tasks are dropped silently when they panic, and what follows in them, such as counting down or reporting the end, is skipped.

Fix: each such task contains its work and goes on to its end. A request gets 502 and 3013 (500 from the other listeners), or its connection is cut if part of the answer was written; an attempt ends as if the upstream had cut it; a link as if it had broken; a store call is lost; a body ends its call with 3013. Each panic is a line with the id and a counter, `panicked{reason}`. A guard that is dropped during an unwinding contains its own panic, as a second one would abort the process.

--- a/src/connection/caller.rs
+++ b/src/connection/caller.rs
@@ -49,6 +49,7 @@
         Span, //
     },
     code::Code,
+    event::RequestName,
     frame::Head,
     id,
     metric::Counter,
@@ -64,6 +65,10 @@
         Source, //
     },
     record::Claim,
+    task::{
+        Unit,
+        contain_unit, //
+    },
 };
 
 /// The largest body in bytes that is buffered even without an idempotency key, so
@@ -103,7 +108,7 @@
         // The HTTP library passes on what it has read, but the caller expects no
         // further response.
         true => Err(Code::Leaving),
-        false => forward(&carrier, listener, request).await,
+        false => forward_contained(&carrier, listener, request).await,
     };
     let mut response = match forwarded {
         Ok(response) => response,
@@ -135,6 +140,21 @@
     Some(Response::new(StatusCode::NO_CONTENT).set_body(BoxBody::new(())))
 }
 
+/// Forwards a request. One that panics is refused, as its outcome is unknown.
+async fn forward_contained(
+    carrier: &Rc<Carrier>,
+    listener: ListenerKind,
+    request: Request,
+) -> Result<Response<BoxBody>, Code> {
+    let caller_id = header::caller_id(request.headers(), &carrier.interface.names);
+    let forwarded = contain_unit(Unit::Request, forward(carrier, listener, request)).await;
+    forwarded.unwrap_or_else(|panic| {
+        let name = RequestName::new(caller_id.as_deref(), "");
+        carrier.record_panic(Unit::Request, &name, &panic);
+        Err(Code::NodeFault)
+    })
+}
+
 async fn forward(
     carrier: &Rc<Carrier>,
     listener: ListenerKind,
--- a/src/connection/door.rs
+++ b/src/connection/door.rs
@@ -89,6 +89,10 @@
         Reply,
         Source, //
     },
+    task::{
+        Unit,
+        contain_unit, //
+    },
 };
 
 /// Maximum number of queued requests per connection. Decoding pauses when it is
@@ -135,6 +139,8 @@
     queue_shrunk: Notify,
     /// Whether a response is being written.
     writing: Cell<bool>,
+    /// Whether a part of this response was passed to the socket.
+    begun: Cell<bool>,
     /// Whether a request has arrived in part and was not dispatched yet.
     receiving: Cell<bool>,
     /// Whether further requests are dispatched. If not, input is discarded and the
@@ -199,6 +205,7 @@
         queue_grown: Notify::new(),
         queue_shrunk: Notify::new(),
         writing: Cell::new(false),
+        begun: Cell::new(false),
         receiving: Cell::new(false),
         accepting: Cell::new(true),
         finished: Cell::new(false),
@@ -258,6 +265,16 @@
     received: u64,
 }
 
+/// The outcome of decoding a part of a request.
+enum Decoded {
+    /// The part was processed.
+    Message,
+    /// More input is needed.
+    Incomplete,
+    /// The request cannot be accepted.
+    Refused(Code),
+}
+
 /// What arrived on a connection and was not dispatched yet.
 struct Received {
     codec: h1::Codec,
@@ -303,16 +320,19 @@
             if self.is_paused(shared) {
                 break;
             }
-            let refusal = match self.codec.decode(&mut self.input) {
-                Ok(Some(message)) => {
-                    self.head_started = None;
-                    process_message(shared, &mut self.incoming, message).await
+            let arrived = shared.progress.arrived();
+            match contain_unit(Unit::Request, self.decode_message(shared)).await {
+                Ok(Decoded::Message) => {}
+                Ok(Decoded::Incomplete) => break,
+                Ok(Decoded::Refused(code)) => fail_request(shared, self.incoming.take(), code),
+                Err(panic) => {
+                    shared.carrier.record_panic(Unit::Request, &"", &panic);
+                    shared.accepting.set(false);
+                    // A request that was dispatched has a response of its own.
+                    if shared.progress.arrived() == arrived {
+                        fail_request(shared, self.incoming.take(), Code::NodeFault);
+                    }
                 }
-                Ok(None) => break,
-                Err(_) => Some(Code::Malformed),
-            };
-            if let Some(code) = refusal {
-                fail_request(shared, self.incoming.take(), code);
             }
         }
         if !self.input.is_empty() && self.incoming.is_none() && !self.is_paused(shared) {
@@ -325,6 +345,19 @@
             .set(self.head_started.is_some() || is_buffering);
     }
 
+    /// Decodes and processes the next part of a request.
+    async fn decode_message(&mut self, shared: &ConnectionState) -> Decoded {
+        match self.codec.decode(&mut self.input) {
+            Ok(Some(message)) => {
+                self.head_started = None;
+                let refusal = process_message(shared, &mut self.incoming, message).await;
+                refusal.map_or(Decoded::Message, Decoded::Refused)
+            }
+            Ok(None) => Decoded::Incomplete,
+            Err(_) => Decoded::Refused(Code::Malformed),
+        }
+    }
+
     /// When the wait for the caller times out: for the next part of a body, for the
     /// rest of a head, or on an idle connection.
     fn deadline(&self, shared: &ConnectionState) -> Option<Time> {
@@ -600,7 +633,7 @@
         };
         shared.writing.set(true);
         shared.queue_shrunk.notify_one();
-        let close = match write_reply(shared, writer, &mut exchange).await {
+        let close = match write_contained(shared, writer, &mut exchange).await {
             Ok(close) => close,
             Err(end) => {
                 shared.progress.set_end(end);
@@ -621,6 +654,35 @@
     }
 }
 
+/// Writes one response, or a refusal in its place if it panics before its first byte.
+/// Returns whether the connection closes after it.
+async fn write_contained(
+    shared: &ConnectionState,
+    writer: &mut WriteHalf<'_>,
+    exchange: &mut Exchange,
+) -> Result<bool, ConnectionEnd> {
+    shared.begun.set(false);
+    let write = write_reply(shared, writer, exchange);
+    let panic = match contain_unit(Unit::Request, write).await {
+        Ok(written) => return written,
+        Err(panic) => panic,
+    };
+    let carrier = &shared.carrier;
+    let name = exchange.guard.as_ref().map(Guard::name);
+    carrier.record_panic(Unit::Request, &name.unwrap_or_default(), &panic);
+    if shared.begun.get() {
+        return Err(ConnectionEnd::Cut);
+    }
+    carrier.count(Counter::Refused(Code::NodeFault));
+    shared.accepting.set(false);
+    let close = shared.close_after_response();
+    let (code, is_head) = (Code::NodeFault, exchange.is_head);
+    let mut output = BytesMut::new();
+    refusal::write(&mut output, code, code.status(), None, is_head, close);
+    write_bytes(shared, writer, &output).await?;
+    Ok(close)
+}
+
 /// Writes one response and returns whether the connection closes after it.
 async fn write_reply(
     shared: &ConnectionState,
@@ -630,7 +692,7 @@
     let carrier = &shared.carrier;
     let reply = match &mut exchange.reply {
         ReplySource::Continue => {
-            write_bytes(writer, b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+            write_bytes(shared, writer, b"HTTP/1.1 100 Continue\r\n\r\n").await?;
             return Ok(false);
         }
         ReplySource::Refused(code) => Reply::Refuse(*code, code.retry_after()),
@@ -645,10 +707,10 @@
             let mut output = BytesMut::with_capacity(512);
             let status = (carrier.interface.status)(code);
             refusal::write(&mut output, code, status, wait, exchange.is_head, close);
-            write_bytes(writer, &output).await?;
+            write_bytes(shared, writer, &output).await?;
         }
         Reply::Answer(head, inlet) => {
-            let cut = write_response(writer, &head, &inlet, exchange.is_head, close).await;
+            let cut = write_response(shared, writer, &head, &inlet, exchange.is_head, close).await;
             if let (Err(_), Some(guard)) = (&cut, &exchange.guard) {
                 guard.count_cut_answer();
             }
@@ -658,7 +720,12 @@
     Ok(close)
 }
 
-async fn write_bytes(writer: &mut WriteHalf<'_>, bytes: &[u8]) -> Result<(), ConnectionEnd> {
+async fn write_bytes(
+    shared: &ConnectionState,
+    writer: &mut WriteHalf<'_>,
+    bytes: &[u8],
+) -> Result<(), ConnectionEnd> {
+    shared.begun.set(true);
     let written = writer.write_all(bytes).await;
     written.map_err(|_| ConnectionEnd::CallerGone)
 }
@@ -666,6 +733,7 @@
 /// Writes an upstream's response. A truncated one ends without its last chunk or
 /// short of its content length, so the caller cannot take it for complete.
 async fn write_response(
+    shared: &ConnectionState,
     writer: &mut WriteHalf<'_>,
     head: &Head,
     inlet: &Inlet,
@@ -690,14 +758,14 @@
         }
         // A body that is already complete is written together with its end.
         if !inlet.is_whole() || output.len() >= WRITE_BUFFER {
-            write_bytes(writer, &output).await?;
+            write_bytes(shared, writer, &output).await?;
             output.clear();
         }
     }
     if chunked {
         output.extend_from_slice(b"0\r\n\r\n");
     }
-    write_bytes(writer, &output).await
+    write_bytes(shared, writer, &output).await
 }
 
 fn push_chunk(output: &mut BytesMut, chunk: &[u8], chunked: bool) {
--- a/src/connection/header.rs
+++ b/src/connection/header.rs
@@ -218,6 +218,12 @@
     found.map(|(_, value)| value.clone())
 }
 
+/// The same before the headers have been converted.
+pub(crate) fn caller_id(original: &HeaderMap, names: &Names) -> Option<Vec<u8>> {
+    let value = original.get(names.request?)?;
+    Some(value.as_bytes().to_vec())
+}
+
 /// Adds the headers that tell the upstream about the attempt and that it needs
 /// for nested calls.
 pub(crate) fn add_context(head: &mut Head, attempt: &AttemptInfo<'_>, names: &Names) {
--- a/src/process/carrier.rs
+++ b/src/process/carrier.rs
@@ -94,7 +94,8 @@
         Panic,
         Tasks,
         Unit,
-        contain, //
+        contain,
+        contain_unit, //
     },
     warmup, //
 };
@@ -705,11 +706,17 @@
             return self.on(Event::StoreAnswer(number, store::Answer::Lost));
         };
         let weak = self.weak.clone();
+        let key = call.key().unwrap_or_default().to_owned();
         actix_rt::spawn(async move {
-            let answer = store.call(call).await;
-            if let Some(carrier) = weak.upgrade() {
-                carrier.on(Event::StoreAnswer(number, answer));
-            }
+            let answered = contain_unit(Unit::StoreCall, async { store.call(call).await }).await;
+            let Some(carrier) = weak.upgrade() else {
+                return;
+            };
+            let answer = answered.unwrap_or_else(|panic| {
+                carrier.record_panic(Unit::StoreCall, &key, &panic);
+                store::Answer::Lost
+            });
+            carrier.on(Event::StoreAnswer(number, answer));
         });
     }
 
--- a/src/process/event.rs
+++ b/src/process/event.rs
@@ -6,7 +6,10 @@
 //! The [`Recorder`] limits the rate of lines. Failures have a budget of their own, so
 //! successful requests can't displace them, and omitted events are counted.
 
-use std::cell::Cell;
+use std::{
+    cell::Cell,
+    fmt, //
+};
 
 use crate::{
     clock::{
@@ -52,7 +55,7 @@
 
 impl RequestName {
     /// Uses the caller's id if there is one, truncated, and `root` otherwise.
-    pub(crate) fn new(caller_id: Option<&[u8]>, root: impl std::fmt::Display) -> Self {
+    pub(crate) fn new(caller_id: Option<&[u8]>, root: impl fmt::Display) -> Self {
         let Some(caller_id) = caller_id else {
             return Self(root.to_string());
         };
@@ -61,6 +64,12 @@
     }
 }
 
+impl fmt::Display for RequestName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
 /// Configuration that a node had when it decided.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct KnownConfig {
--- a/src/process/links.rs
+++ b/src/process/links.rs
@@ -40,6 +40,10 @@
     id,
     metric::Counter,
     node::Event,
+    task::{
+        Unit,
+        contain_unit, //
+    },
 };
 
 /// An open link, or one whose handshake is in progress.
@@ -170,22 +174,36 @@
         links.half_open.set(links.half_open.get() + 1);
         let carrier = carrier.clone();
         actix_rt::spawn(async move {
-            let handshake = link::accept(stream, &carrier.me.instance, &carrier.ring);
-            let outcome = tokio::time::timeout(HANDSHAKE_TIMEOUT.to_std(), handshake).await;
+            let accepted = contain_unit(Unit::Link, handshake(&carrier, stream)).await;
             let links = &carrier.links;
             links.half_open.set(links.half_open.get() - 1);
-            match outcome {
-                Ok(Ok((peer, socket))) => serve(carrier, peer, socket).await,
-                Ok(Err(error)) => {
-                    log::warn!(code = error.number(); "link refused: {}", error.reason());
-                    carrier.count(Counter::Unauthenticated);
-                }
-                Err(_) => carrier.count(Counter::Unauthenticated),
+            match accepted {
+                Ok(Some((peer, socket))) => serve(carrier, peer, socket).await,
+                Ok(None) => {}
+                Err(panic) => carrier.record_panic(Unit::Link, &"", &panic),
             }
         });
     }
 }
 
+/// Authenticates the peer that has opened a connection. Returns `None` if it fails to.
+async fn handshake(
+    carrier: &Carrier,
+    stream: TcpStream,
+) -> Option<(id::Instance, tokio_tungstenite::WebSocketStream<TcpStream>)> {
+    let handshake = link::accept(stream, &carrier.me.instance, &carrier.ring);
+    let outcome = tokio::time::timeout(HANDSHAKE_TIMEOUT.to_std(), handshake).await;
+    match outcome {
+        Ok(Ok(accepted)) => return Some(accepted),
+        Ok(Err(error)) => {
+            log::warn!(code = error.number(); "link refused: {}", error.reason());
+        }
+        Err(_) => {}
+    }
+    carrier.count(Counter::Unauthenticated);
+    None
+}
+
 /// Serves an inbound link until it ends.
 async fn serve(
     carrier: Rc<Carrier>,
@@ -223,7 +241,10 @@
             handle(incoming)
         })
     };
-    link::run(socket, queued, handler).await;
+    let ended = contain_unit(Unit::Link, link::run(socket, queued, handler)).await;
+    if let Err(panic) = ended {
+        carrier.record_panic(Unit::Link, &peer, &panic);
+    }
     drop(end);
     if carrier.links.is_current_inbound(&peer, number) {
         carrier.links.inbound.borrow_mut().remove(&peer);
@@ -238,19 +259,12 @@
     let number = carrier.next_number();
     let (carrier, peer) = (carrier.clone(), peer.clone());
     actix_rt::spawn(async move {
-        let connected = connect(&carrier, &peer).await;
-        let opened = connected.is_ok();
-        match connected {
-            Ok(socket) => {
-                carrier.count(Counter::LinkOpened);
-                carrier.on(Event::OutboundLinkOpened(peer.clone()));
-                link::run(socket, queued, frame_handler(&carrier, &peer, false)).await;
-            }
-            Err(error) => {
-                log::warn!(peer:% = peer, code = error.number(); "no link: {}", error.reason());
-            }
+        let opened = Cell::new(false);
+        let run = run_outbound(&carrier, &peer, queued, &opened);
+        if let Err(panic) = contain_unit(Unit::Link, run).await {
+            carrier.record_panic(Unit::Link, &peer, &panic);
         }
-        handle_outbound_end(&carrier, peer, number, opened);
+        handle_outbound_end(&carrier, peer, number, opened.get());
         drop(end);
     });
     Link {
@@ -261,6 +275,26 @@
     }
 }
 
+/// Opens an outbound link and runs it until it ends.
+async fn run_outbound(
+    carrier: &Rc<Carrier>,
+    peer: &id::Instance,
+    queued: mpsc::UnboundedReceiver<Outgoing>,
+    opened: &Cell<bool>,
+) {
+    match connect(carrier, peer).await {
+        Ok(socket) => {
+            opened.set(true);
+            carrier.count(Counter::LinkOpened);
+            carrier.on(Event::OutboundLinkOpened(peer.clone()));
+            link::run(socket, queued, frame_handler(carrier, peer, false)).await;
+        }
+        Err(error) => {
+            log::warn!(peer:% = peer, code = error.number(); "no link: {}", error.reason());
+        }
+    }
+}
+
 /// Connects to a peer and performs the handshake.
 async fn connect(
     carrier: &Rc<Carrier>,
--- a/src/process/relay.rs
+++ b/src/process/relay.rs
@@ -45,6 +45,10 @@
     node::Event,
     outcome::Refusal,
     pending::Source,
+    task::{
+        Unit,
+        contain_unit, //
+    },
 };
 
 /// How long the rest of a rejection is read before its connection is given up.
@@ -68,6 +72,8 @@
     TooLarge,
     /// The receiver no longer needs the body.
     Unwanted,
+    /// The transfer panicked.
+    Fault,
 }
 
 impl Carrier {
@@ -144,35 +150,39 @@
         let weak = self.weak();
         let chunk_timeout = self.limits().body_time.to_std();
         actix_rt::spawn(async move {
-            let mut source = std::pin::pin!(source);
-            let mut sum = Xxh3Default::new();
-            let mut sent_bytes = 0;
-            let error = loop {
-                let chunk = match tokio::time::timeout(chunk_timeout, source.next()).await {
-                    Err(_) => break Some(BodyError::Timeout),
-                    Ok(None) => break None,
-                    Ok(Some(Err(Cut))) => break Some(BodyError::SourceCut),
-                    Ok(Some(Ok(chunk))) => chunk,
-                };
-                sent_bytes += chunk.len() as u64;
-                if sent_bytes > limit {
-                    break Some(BodyError::TooLarge);
-                }
-                sum.update(&chunk);
-                let Some(carrier) = weak.upgrade() else {
-                    return;
-                };
-                if carrier.send_chunk(&sender, chunk).await.is_err() {
-                    break Some(BodyError::Unwanted);
+            let transfer = async {
+                let mut source = std::pin::pin!(source);
+                let mut sum = Xxh3Default::new();
+                let mut sent_bytes = 0;
+                loop {
+                    let chunk = match tokio::time::timeout(chunk_timeout, source.next()).await {
+                        Err(_) => return Err(BodyError::Timeout),
+                        Ok(None) => return Ok(sum.digest()),
+                        Ok(Some(Err(Cut))) => return Err(BodyError::SourceCut),
+                        Ok(Some(Ok(chunk))) => chunk,
+                    };
+                    sent_bytes += chunk.len() as u64;
+                    if sent_bytes > limit {
+                        return Err(BodyError::TooLarge);
+                    }
+                    sum.update(&chunk);
+                    let carrier = weak.upgrade().ok_or(BodyError::Unwanted)?;
+                    let sent = carrier.send_chunk(&sender, chunk).await;
+                    sent.map_err(|Cut| BodyError::Unwanted)?;
                 }
             };
+            let transferred = contain_unit(Unit::Body, transfer).await;
             let Some(carrier) = weak.upgrade() else {
                 return;
             };
-            match error {
-                None => carrier.transmit(&sender.peer, sender.end(sum.digest())),
-                Some(BodyError::Unwanted) => {}
-                Some(error) => {
+            let transferred = transferred.unwrap_or_else(|panic| {
+                carrier.record_panic(Unit::Body, &sender.request, &panic);
+                Err(BodyError::Fault)
+            });
+            match transferred {
+                Ok(sum) => carrier.transmit(&sender.peer, sender.end(sum)),
+                Err(BodyError::Unwanted) => {}
+                Err(error) => {
                     carrier.transmit(&sender.peer, sender.cut());
                     carrier.fail_call(call, &error);
                 }
@@ -190,6 +200,7 @@
         }
         let code = match error {
             BodyError::TooLarge => Code::BodyOverrun,
+            BodyError::Fault => Code::NodeFault,
             _ => Code::BodyCut,
         };
         self.count(crate::metric::Counter::Refused(code));
@@ -220,12 +231,23 @@
             };
             // The exchange is dropped, and with it the connection closed, before the
             // core learns that the slot is free.
-            let end = tokio::select! {
-                _ = aborted => End::Aborted,
-                end = carrier.run_and_classify(exchange) => end,
+            let peer = exchange.sender.peer.clone();
+            let run = async {
+                let end = tokio::select! {
+                    _ = aborted => End::Aborted,
+                    end = carrier.run_and_classify(exchange) => end,
+                };
+                carrier.update_upstream_liveness(end);
+                carrier.record_ended(request, end);
+                end
             };
-            carrier.update_upstream_liveness(end);
-            carrier.record_ended(request, end);
+            let ended = contain_unit(Unit::Attempt, run).await;
+            let end = ended.unwrap_or_else(|panic| {
+                carrier.record_panic(Unit::Attempt, &request, &panic);
+                let side = Side::Answer;
+                carrier.transmit(&peer, Frame::Cut { request, side });
+                End::Cut
+            });
             carrier.on(Event::AttemptEnded(request, end));
         });
     }
--- a/src/process/server.rs
+++ b/src/process/server.rs
@@ -70,6 +70,10 @@
     probe,
     settings::Settings,
     store::Store,
+    task::{
+        Unit,
+        contain_unit, //
+    },
 };
 
 /// Maximum time between two ticks while requests are in progress.
@@ -165,6 +169,23 @@
     count_changed: Notify,
 }
 
+/// An open connection, counted until it is dropped.
+struct OpenConnection(Rc<OpenConnections>);
+
+impl OpenConnection {
+    fn count(connections: &Rc<OpenConnections>) -> Self {
+        connections.count.set(connections.count.get() + 1);
+        Self(connections.clone())
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.count.set(self.0.count.get() - 1);
+        self.0.count_changed.notify_waiters();
+    }
+}
+
 /// A running node.
 pub struct Server {
     carrier: Rc<Carrier>,
@@ -511,16 +532,15 @@
         let _ = stream.set_nodelay(true);
         let (carrier, connections) = (carrier.clone(), connections.clone());
         actix_rt::spawn(async move {
-            carrier
-                .caller_connections
-                .set(carrier.caller_connections.get() + 1);
-            connections.count.set(connections.count.get() + 1);
-            door::serve(carrier.clone(), stream, wait_for_close(connections.clone())).await;
-            carrier
-                .caller_connections
-                .set(carrier.caller_connections.get() - 1);
-            connections.count.set(connections.count.get() - 1);
-            connections.count_changed.notify_waiters();
+            let open = &carrier.caller_connections;
+            open.set(open.get() + 1);
+            let counted = OpenConnection::count(&connections);
+            let serve = door::serve(carrier.clone(), stream, wait_for_close(connections));
+            if let Err(panic) = contain_unit(Unit::Connection, serve).await {
+                carrier.record_panic(Unit::Connection, &"", &panic);
+            }
+            open.set(open.get() - 1);
+            drop(counted);
         });
     }
 }
@@ -581,6 +601,7 @@
     Fut: Future<Output = Response<BoxBody>> + 'static,
 {
     let closing = connections.clone();
+    let handler_carrier = carrier.clone();
     let limits = carrier.limits();
     let factory = HttpService::build()
         .keep_alive(KeepAlive::Timeout(std::time::Duration::from_secs(75)))
@@ -592,7 +613,7 @@
         })
         .graceful_shutdown_signal(move || wait_for_close(closing.clone()))
         .h1(fn_service(move |request| {
-            let response = handler(request);
+            let response = respond(handler_carrier.clone(), handler.clone(), request);
             async move { Ok::<_, Infallible>(response.await) }
         }))
         .tcp();
@@ -612,18 +633,37 @@
             continue;
         }
         let _ = stream.set_nodelay(true);
-        let (service, open, connections) = (service.clone(), open.clone(), connections.clone());
+        let (carrier, service, open) = (carrier.clone(), service.clone(), open.clone());
+        let counted = OpenConnection::count(&connections);
         actix_rt::spawn(async move {
             open.set(open.get() + 1);
-            connections.count.set(connections.count.get() + 1);
-            let _ = service.call(stream).await;
+            let serve = async { service.call(stream).await };
+            if let Err(panic) = contain_unit(Unit::Connection, serve).await {
+                carrier.record_panic(Unit::Connection, &"", &panic);
+            }
             open.set(open.get() - 1);
-            connections.count.set(connections.count.get() - 1);
-            connections.count_changed.notify_waiters();
+            drop(counted);
         });
     }
 }
 
+/// Handles one request. A handler that panics is answered for.
+async fn respond<F, Fut>(carrier: Rc<Carrier>, handler: F, request: Request) -> Response<BoxBody>
+where
+    F: Fn(Request) -> Fut,
+    Fut: Future<Output = Response<BoxBody>>,
+{
+    let path = request.path().to_owned();
+    let handle = async move { handler(request).await };
+    match contain_unit(Unit::Request, handle).await {
+        Ok(response) => response,
+        Err(panic) => {
+            carrier.record_panic(Unit::Request, &path, &panic);
+            Response::new(StatusCode::INTERNAL_SERVER_ERROR).set_body(BoxBody::new(()))
+        }
+    }
+}
+
 /// Waits until the server closes its connections.
 async fn wait_for_close(connections: Rc<OpenConnections>) {
     while !connections.closing.get() {
--- a/src/process/task.rs
+++ b/src/process/task.rs
@@ -12,12 +12,15 @@
     cell::RefCell,
     collections::VecDeque,
     fmt,
+    future::Future,
     panic::{
         AssertUnwindSafe,
         catch_unwind, //
     },
 };
 
+use futures_util::FutureExt;
+
 use crate::{
     carrier::Carrier,
     clock::{
@@ -35,6 +38,18 @@
     Event,
     /// An action that the decision core has returned.
     Action,
+    /// A request of a caller, an operator or the service.
+    Request,
+    /// An attempt at the upstream.
+    Attempt,
+    /// The transfer of a request body.
+    Body,
+    /// A connection of a caller.
+    Connection,
+    /// A link to or from another node.
+    Link,
+    /// A call to the store.
+    StoreCall,
 }
 
 impl Unit {
@@ -42,6 +57,12 @@
         match self {
             Self::Event => "Event",
             Self::Action => "Action",
+            Self::Request => "Request",
+            Self::Attempt => "Attempt",
+            Self::Body => "Body",
+            Self::Connection => "Connection",
+            Self::Link => "Link",
+            Self::StoreCall => "StoreCall",
         }
     }
 }
@@ -80,6 +101,21 @@
     catch_unwind(AssertUnwindSafe(step)).map_err(Panic::from)
 }
 
+/// Runs a future, and catches its panic.
+async fn contain_future<T>(future: impl Future<Output = T>) -> Result<T, Panic> {
+    let outcome = AssertUnwindSafe(future).catch_unwind().await;
+    outcome.map_err(Panic::from)
+}
+
+tokio::task_local! {
+    static NAME: &'static str;
+}
+
+/// Runs a future under a name, which the log line of a panic carries.
+async fn named<T>(name: &'static str, future: impl Future<Output = T>) -> T {
+    NAME.scope(name, future).await
+}
+
 /// Limits how often something may happen within a time.
 #[derive(Clone, Debug)]
 pub struct Budget {
@@ -129,6 +165,11 @@
     }
 }
 
+/// Runs a unit of work, and catches its panic.
+pub(crate) async fn contain_unit<T>(unit: Unit, work: impl Future<Output = T>) -> Result<T, Panic> {
+    named(unit.name(), contain_future(work)).await
+}
+
 impl Carrier {
     /// Logs and counts a panic that ended a unit of work.
     pub(crate) fn record_panic(&self, unit: Unit, subject: &dyn fmt::Display, panic: &Panic) {
--- a/src/request/pending.rs
+++ b/src/request/pending.rs
@@ -30,6 +30,10 @@
         ConnectionEnd,
         Counter, //
     },
+    task::{
+        Unit,
+        contain, //
+    },
 };
 
 /// The result that a caller's handler waits for.
@@ -89,6 +93,11 @@
         }
     }
 
+    /// Returns the number of requests that arrived.
+    pub(crate) fn arrived(&self) -> u64 {
+        self.arrived.get()
+    }
+
     pub(crate) fn count_written(&self) {
         self.written.set(self.written.get() + 1);
     }
@@ -197,6 +206,13 @@
         self.written.set(true);
     }
 
+    /// Returns the name of the call in the log.
+    pub(crate) fn name(&self) -> String {
+        let name = |pending: &mut Pending| pending.name.as_ref().map(ToString::to_string);
+        let named = self.carrier.with_call(self.call, name).flatten();
+        named.unwrap_or_else(|| self.call.to_string())
+    }
+
     /// Counts an answer that was cut off.
     pub(crate) fn count_cut_answer(&self) {
         self.carrier.count(Counter::AnswerCut);
@@ -205,6 +221,10 @@
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        self.carrier.finish(self.call, self.written.get());
+        // A panic while another one unwinds would abort the process.
+        let finished = contain(|| self.carrier.finish(self.call, self.written.get()));
+        if let Err(panic) = finished {
+            self.carrier.record_panic(Unit::Request, &self.call, &panic);
+        }
     }
 }
--- a/tests/task/containment.rs
+++ b/tests/task/containment.rs
@@ -1,14 +1,22 @@
 //! Panics in the tasks of a running node.
 
 use std::{
+    cell::Cell,
     future::Future,
+    pin::Pin,
     rc::Rc,
     time::Duration, //
 };
 
 use bluebellswitch::{
+    announce::Announcement,
+    code::Code,
     document::Snapshot,
-    interface::Interface,
+    interface::{
+        AnnouncementRequest,
+        Interface, //
+    },
+    metric::Counter,
     node::Bounds,
     platform::{
         self,
@@ -24,14 +32,25 @@
         caller::Caller,
         upstream::Act, //
     },
+    store::{
+        Answer,
+        Call,
+        Store, //
+    },
+    task::Unit,
 };
 use serde_json::json;
 
 use crate::{
     bench::{
         AUTH,
+        Platform,
+        SECRET,
         Site,
         run,
+        settle,
+        snapshot,
+        text,
         until, //
     },
     site::{
@@ -73,6 +92,24 @@
     });
 }
 
+/// Guards against a slot of an upstream that is never free again.
+#[test]
+fn an_attempt_whose_end_panics_is_released() {
+    run(async {
+        let site = Site::start(|_| Act::whole("whole")).await;
+        trap::set("ended", 1);
+        let caller = site.caller();
+        let answer = soon("an answer", caller.get("/a", &[AUTH])).await;
+        assert_eq!(&answer.expect("an answer").body[..], b"whole");
+        until("the panic", || trap::left() == 0).await;
+        let panicked = Counter::Panicked(Unit::Attempt);
+        until("it is counted", || site.inner.traffic().get(panicked) == 1).await;
+        until("it is released", || site.inner.load() == (0, 0, 0)).await;
+        let again = soon("an answer", caller.get("/a", &[AUTH])).await;
+        assert_eq!(again.expect("an answer").status, 200);
+    });
+}
+
 /// Guards against an attempt that no node knows of, so that its call waits until its
 /// deadline.
 #[test]
@@ -105,6 +142,64 @@
     });
 }
 
+/// Guards against a link that stays in the table of links although its task has ended.
+#[test]
+fn a_link_whose_task_panics_is_dialed_again() {
+    run(async {
+        let site = Site::start(|_| Act::whole("")).await;
+        trap::set("no link", 1);
+        let mut gone = site.inner.peer();
+        gone.instance = "gone".parse().expect("a name");
+        gone.pool = "nothing".parse().expect("a name");
+        gone.link = "127.0.0.1:1".parse().expect("an address");
+        gone.ready = true;
+        site.edge.join(gone);
+        let answer = soon("an answer", site.caller().get("/nowhere/a", &[AUTH])).await;
+        assert_eq!(answer.expect("a refusal").status, 503);
+        assert_eq!(trap::left(), 0);
+        until("it is not in the table", || site.edge.links().0 <= 1).await;
+    });
+}
+
+/// Calls to the store that panic.
+const CALLS: usize = 6;
+
+/// A store whose first calls panic.
+struct Faulty {
+    store: Platform,
+    left: Cell<usize>,
+}
+
+impl Store for Faulty {
+    fn call(&self, call: Call) -> Pin<Box<dyn Future<Output = Answer>>> {
+        let left = self.left.get();
+        self.left.set(left.saturating_sub(1));
+        assert_eq!(left, 0, "a fault of the client");
+        self.store.call(call)
+    }
+}
+
+/// Guards against a subsystem that waits for ever for an answer of the store.
+#[test]
+fn a_store_call_that_panics_counts_as_lost() {
+    run(async {
+        let upstream = "127.0.0.1:1".parse().expect("an address");
+        let settings = text("edge", "front", upstream, SECRET, "{}");
+        let settings = Settings::parse(&settings).expect("good settings");
+        let store = Rc::new(Faulty {
+            store: Platform::default(),
+            left: Cell::new(CALLS),
+        });
+        let edge = Server::start(settings, Some(store.clone())).await;
+        let edge = edge.expect("free ports");
+        edge.adopt(Rc::new(snapshot()));
+        let caller = Caller::new(edge.addresses().callers);
+        soon("the team's rate", settle(&caller)).await;
+        let panicked = edge.traffic().get(Counter::Panicked(Unit::StoreCall));
+        assert_eq!(panicked, CALLS as u64);
+    });
+}
+
 /// Parses configurations, except for the second version.
 fn read(text: &str) -> bluebellswitch::Result<Snapshot> {
     assert!(!text.contains("\"version\":2"), "a fault of the decoder");
@@ -112,6 +207,18 @@
     (source.read)(text)
 }
 
+/// Parses announcements, except for a broken one.
+fn announcement(request: AnnouncementRequest<'_>) -> bluebellswitch::Result<Announcement> {
+    assert_ne!(request.body, b"broken", "a fault of the decoder");
+    (platform::interface().announcement)(request)
+}
+
+/// Translates codes, except for that of a missing key.
+fn status(code: Code) -> u16 {
+    assert_ne!(code, Code::KeyMissing, "a fault of the translation");
+    (platform::interface().status)(code)
+}
+
 fn faulty_interface() -> Interface {
     let interface = platform::interface();
     let configuration = interface.configuration.map(|mut source| {
@@ -120,6 +227,8 @@
     });
     Interface {
         configuration,
+        announcement,
+        status,
         ..interface
     }
 }
@@ -161,3 +270,34 @@
         until("a later configuration", || node.version().0 == 3).await;
     });
 }
+
+/// Guards against connections of callers that end without an answer, and stay counted
+/// among the open ones.
+#[test]
+fn requests_whose_refusal_panics_are_answered() {
+    run(async {
+        let store = standin::Store::start();
+        let node = start_on_platform(&store).await;
+        for _ in 0..CONNECTIONS * 2 {
+            let caller = Caller::new(node.addresses().callers);
+            let answer = soon("an answer", caller.get("/view/x", &[HOST, ID])).await;
+            let answer = answer.expect("an answer");
+            assert_eq!((answer.status, answer.code()), (502, Some(3013)));
+        }
+    });
+}
+
+/// Guards against announcements that end without an answer.
+#[test]
+fn an_announcement_that_panics_is_answered() {
+    run(async {
+        let store = standin::Store::start();
+        let node = start_on_platform(&store).await;
+        let listener = node.addresses().announcements.expect("a listener");
+        for _ in 0..CONNECTIONS * 2 {
+            let service = Caller::new(listener);
+            let answer = soon("an answer", service.send("POST", "/ready", &[], "broken")).await;
+            assert_eq!(answer.expect("an answer").status, 500);
+        }
+    });
+}
--- a/tests/task/trap.rs
+++ b/tests/task/trap.rs
@@ -45,3 +45,8 @@
         left: times,
     }));
 }
+
+/// Returns how often the line still panics.
+pub fn left() -> usize {
+    TRAP.with_borrow(|trap| trap.as_ref().map_or(0, |trap| trap.left))
+}
