Start the tasks again that a node lives by

What callers saw: a panic in the task that runs the timers left a node on which no request reached its deadline; one in an accept loop, a listener that nobody served. The node said that it was ready.

Cause: these tasks were spawned and never looked at again.

Fix: each is an `Essential` task under `supervise`, which logs and counts its end, by panic or by return, and starts it again; listeners and what the probe has found outlive the task. The tasks of the command (settings, signals) are supervised too. `task_running{task}`, `task_ended{reason}` and `tick_age_ms` show the state.

--- a/src/command/node.rs
+++ b/src/command/node.rs
@@ -13,10 +13,13 @@
     Parser,
     long, //
 };
-use tokio::signal::unix::{
-    Signal,
-    SignalKind,
-    signal, //
+use tokio::{
+    signal::unix::{
+        Signal,
+        SignalKind,
+        signal, //
+    },
+    sync::Mutex,
 };
 
 use super::{
@@ -41,6 +44,7 @@
     },
     settings::Settings,
     store::Store,
+    task::Essential,
 };
 
 /// Time after which a call to the platform's service counts as lost.
@@ -98,8 +102,8 @@
 }
 
 async fn serve(start: Start) -> Result<(), Failure> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
+    let terminate = signal(SignalKind::terminate())?;
+    let interrupt = signal(SignalKind::interrupt())?;
     let hangup = signal(SignalKind::hangup())?;
     let store = start.settings.platform.map(start.store);
     let text = std::fs::read_to_string(&start.file).unwrap_or_default();
@@ -117,14 +121,15 @@
         text,
         bounds: start.bounds,
     };
-    actix_rt::spawn(reload(file, handle.clone(), hangup));
-    actix_rt::spawn(async move {
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
-        log::info!("told to stop; the node drains");
-        handle.drain();
+    let watched = Rc::new(Mutex::new((file, hangup)));
+    let reloaded = handle.clone();
+    handle.supervise(Essential::Settings, move || {
+        reload(watched.clone(), reloaded.clone())
+    });
+    let signals = Rc::new(Mutex::new((terminate, interrupt)));
+    let stopped = handle.clone();
+    handle.supervise(Essential::Signals, move || {
+        stop(signals.clone(), stopped.clone())
     });
     match server.wait().await {
         Stop::Clean => Ok(()),
@@ -139,6 +144,19 @@
     }
 }
 
+/// Drains the node whenever a signal tells it to stop.
+async fn stop(signals: Rc<Mutex<(Signal, Signal)>>, handle: Handle) {
+    let (terminate, interrupt) = &mut *signals.lock().await;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        handle.drain();
+        log::info!("told to stop; the node drains");
+    }
+}
+
 /// The file of settings, as it was read last.
 struct File {
     path: PathBuf,
@@ -148,7 +166,8 @@
 
 /// Looks at the settings when told to, and now and then without being told: the
 /// file may change without a signal. A file that is wrong changes nothing.
-async fn reload(mut file: File, handle: Handle, mut hangup: Signal) {
+async fn reload(watched: Rc<Mutex<(File, Signal)>>, handle: Handle) {
+    let (file, hangup) = &mut *watched.lock().await;
     loop {
         let _ = tokio::time::timeout(RELOAD_INTERVAL.to_std(), hangup.recv()).await;
         let Ok(now) = std::fs::read_to_string(&file.path) else {
--- a/src/process/carrier.rs
+++ b/src/process/carrier.rs
@@ -186,6 +186,8 @@
     /// Whether the node ends because it panicked too often.
     failed: Cell<bool>,
     pub(crate) tasks: Tasks,
+    /// When the core last ran its timers.
+    pub(crate) last_tick: Cell<Time>,
     /// Logs the decisions made about individual requests.
     pub(crate) recorder: Recorder,
     /// Time of the last summary in the log and the counts at that time.
@@ -243,6 +245,7 @@
             leaving: Cell::new(false),
             failed: Cell::new(false),
             tasks: Tasks::default(),
+            last_tick: Cell::new(Clock.now()),
             recorder: Recorder::default(),
             last_summary: RefCell::default(),
             changed: Notify::new(),
--- a/src/process/export.rs
+++ b/src/process/export.rs
@@ -65,6 +65,8 @@
     _provider: SdkMeterProvider,
     meter: Meter,
     load: Gauge<u64>,
+    task_running: Gauge<u64>,
+    tick_age: Gauge<u64>,
     named_limit: Gauge<f64>,
     counters: RefCell<HashMap<String, Instrument<u64>>>,
     /// Counter values that the instruments already include.
@@ -83,6 +85,12 @@
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("bluebellswitch");
         let load = meter.u64_gauge(format!("{METRIC_PREFIX}load")).build();
+        let task_running = meter
+            .u64_gauge(format!("{METRIC_PREFIX}task_running"))
+            .build();
+        let tick_age = meter
+            .u64_gauge(format!("{METRIC_PREFIX}tick_age_ms"))
+            .build();
         let named_limit = meter
             .f64_gauge(format!("{METRIC_PREFIX}named_limit"))
             .build();
@@ -92,6 +100,8 @@
             _provider: provider,
             meter,
             load,
+            task_running,
+            tick_age,
             named_limit,
             counters: RefCell::default(),
             exported: RefCell::default(),
@@ -142,6 +152,7 @@
         let named_limit = core.load(Clock.now()).named_limit;
         self.named_limit
             .record(named_limit.map_or(f64::INFINITY, Rate::as_f64), &[]);
+        self.refresh_tasks();
         let (calls, sent, received) = self.carrier.load();
         let (dialed, accepted) = self.carrier.links.counts();
         for (kind, count) in [
@@ -156,6 +167,15 @@
         }
     }
 
+    fn refresh_tasks(&self) {
+        for (task, runs) in self.carrier.tasks.running() {
+            let label = KeyValue::new("task", task.to_string());
+            self.task_running.record(u64::from(runs), &[label]);
+        }
+        let tick_age = Clock.now().since(self.carrier.last_tick.get());
+        self.tick_age.record(tick_age.as_ms(), &[]);
+    }
+
     fn metrics(&self) -> Response<BoxBody> {
         self.refresh();
         let mut text = Vec::new();
--- a/src/process/metric.rs
+++ b/src/process/metric.rs
@@ -14,7 +14,10 @@
         Reason,
         class::Progress, //
     },
-    task::Unit,
+    task::{
+        Essential,
+        Unit, //
+    },
 };
 
 /// Origin of a request that was started at the upstream.
@@ -153,6 +156,8 @@
     Unanswered(ConnectionEnd),
     /// Panics that ended a unit of work, by its kind.
     Panicked(Unit),
+    /// Ends of tasks without which the node does not work; they are started again.
+    TaskEnded(Essential),
     /// Answers that were ready when the connection of their caller ended, but not
     /// written.
     AnswerUnsent(ConnectionEnd),
--- a/src/process/probe.rs
+++ b/src/process/probe.rs
@@ -5,7 +5,10 @@
 //! unhealthy answer does not remove an upstream either; only refused connections
 //! do.
 
-use std::rc::Rc;
+use std::{
+    cell::Cell,
+    rc::Rc, //
+};
 
 use crate::{
     carrier::Carrier,
@@ -37,10 +40,18 @@
     Refused,
 }
 
+/// What the probes have shown so far.
+#[derive(Default)]
+pub(crate) struct Findings {
+    /// Consecutive refused connections.
+    refusals: Cell<u32>,
+    /// Whether the upstream was detected.
+    detected: Cell<bool>,
+}
+
 /// Runs probes until the node stops.
-pub(crate) async fn run(carrier: Rc<Carrier>) {
-    let mut refusals = 0;
-    let mut detected = false;
+pub(crate) async fn run(carrier: Rc<Carrier>, findings: Rc<Findings>) {
+    let Findings { refusals, detected } = &*findings;
     loop {
         tokio::time::sleep(PROBE_PERIOD.to_std()).await;
         let Some(path) = health_path(&carrier) else {
@@ -54,19 +65,19 @@
             carrier.on(Event::UpstreamWarmup(left));
         }
         carrier.on(Event::UpstreamHealth(result == ProbeResult::Healthy));
-        refusals = match result {
-            ProbeResult::Refused => refusals + 1,
+        refusals.set(match result {
+            ProbeResult::Refused => refusals.get().saturating_add(1),
             ProbeResult::Healthy | ProbeResult::Unhealthy => 0,
-        };
+        });
         let exists = match result {
             ProbeResult::Healthy => true,
-            ProbeResult::Unhealthy => detected,
-            ProbeResult::Refused => detected && refusals < MAX_REFUSALS,
+            ProbeResult::Unhealthy => detected.get(),
+            ProbeResult::Refused => detected.get() && refusals.get() < MAX_REFUSALS,
         };
-        if exists != detected && !carrier.is_service_leaving() {
-            detected = exists;
-            log::info!(found = detected; "the health probe detected a change of the upstream");
-            carrier.on(Event::UpstreamReady(detected));
+        if exists != detected.get() && !carrier.is_service_leaving() {
+            detected.set(exists);
+            carrier.on(Event::UpstreamReady(exists));
+            log::info!(found = exists; "the health probe detected a change of the upstream");
         }
     }
 }
--- a/src/process/server.rs
+++ b/src/process/server.rs
@@ -71,8 +71,10 @@
     settings::Settings,
     store::Store,
     task::{
+        Essential,
         Unit,
-        contain_unit, //
+        contain_unit,
+        supervise, //
     },
 };
 
@@ -158,6 +160,15 @@
     pub fn reload(&self, settings: Settings, bounds: Bounds) -> Vec<&'static str> {
         self.0.reload(settings, bounds)
     }
+
+    /// Runs a task that belongs to the node, and starts it again whenever it ends.
+    pub(crate) fn supervise<F, Fut>(&self, task: Essential, start: F)
+    where
+        F: Fn() -> Fut + 'static,
+        Fut: Future<Output = ()> + 'static,
+    {
+        actix_rt::spawn(supervise(self.0.clone(), task, start));
+    }
 }
 
 /// Tracks the open HTTP connections and tells them when to close.
@@ -259,6 +270,7 @@
 
     async fn spawn_tasks(&mut self, listeners: Listeners, links: TcpListener) {
         let carrier = &self.carrier;
+        let mut tasks = Vec::new();
         let Listeners {
             callers,
             service,
@@ -275,47 +287,81 @@
                     let handler_carrier = carrier.clone();
                     let handler =
                         move |request| caller::serve(handler_carrier.clone(), side, request);
-                    let task =
-                        serve_http(carrier.clone(), self.connections.clone(), listener, handler);
-                    self.tasks.push(actix_rt::spawn(task));
+                    let task = match side {
+                        ListenerKind::Callers => Essential::Callers,
+                        ListenerKind::Service => Essential::Service,
+                    };
+                    tasks.push(self.serve_http(task, listener, handler));
                 }
             }
             // Without a listener of its own, the service uses that of the
             // callers.
             None => {
-                let task = accept_callers(carrier.clone(), self.connections.clone(), callers);
-                self.tasks.push(actix_rt::spawn(task));
+                let (listener, connections) = (Rc::new(callers), self.connections.clone());
+                tasks.push(self.supervise(Essential::Callers, move |carrier| {
+                    accept_callers(carrier, connections.clone(), listener.clone())
+                }));
             }
         }
         if let Some(listener) = announcements {
             let handler_carrier = carrier.clone();
             let handler = move |request| beside::serve(handler_carrier.clone(), request);
-            let task = serve_http(carrier.clone(), self.connections.clone(), listener, handler);
-            self.tasks.push(actix_rt::spawn(task));
+            tasks.push(self.serve_http(Essential::Announcements, listener, handler));
         }
         if let Some(listener) = ready {
             let handler_carrier = carrier.clone();
             let handler = move |request| readiness(handler_carrier.clone(), request);
-            let task = serve_http(carrier.clone(), self.connections.clone(), listener, handler);
-            self.tasks.push(actix_rt::spawn(task));
+            tasks.push(self.serve_http(Essential::Readiness, listener, handler));
         }
         let operator = Rc::new(export::OperatorApi::new(carrier.clone()));
         let handler = move |request| export::serve(operator.clone(), request);
-        let task = serve_http(
-            carrier.clone(),
-            self.connections.clone(),
-            operators,
-            handler,
-        );
-        self.tasks.push(actix_rt::spawn(task));
-        for task in [
-            actix_rt::spawn(accept_links(carrier.clone(), links)),
-            actix_rt::spawn(receive_datagrams(carrier.clone())),
-            actix_rt::spawn(run_ticks(carrier.clone())),
-            actix_rt::spawn(probe::run(carrier.clone())),
-        ] {
-            self.tasks.push(task);
-        }
+        let links = Rc::new(links);
+        let findings = Rc::new(probe::Findings::default());
+        tasks.extend([
+            self.serve_http(Essential::Operators, operators, handler),
+            self.supervise(Essential::Links, move |carrier| {
+                accept_links(carrier, links.clone())
+            }),
+            self.supervise(Essential::Datagrams, receive_datagrams),
+            self.supervise(Essential::Ticks, run_ticks),
+            self.supervise(Essential::Probe, move |carrier| {
+                probe::run(carrier, findings.clone())
+            }),
+        ]);
+        self.tasks = tasks;
+    }
+
+    /// Starts an essential task.
+    fn supervise<F, Fut>(&self, task: Essential, start: F) -> JoinHandle<()>
+    where
+        F: Fn(Rc<Carrier>) -> Fut + 'static,
+        Fut: Future<Output = ()> + 'static,
+    {
+        let carrier = self.carrier.clone();
+        let start = move || start(carrier.clone());
+        actix_rt::spawn(supervise(self.carrier.clone(), task, start))
+    }
+
+    /// Starts the task that serves HTTP on a listener.
+    fn serve_http<F, Fut>(
+        &self,
+        task: Essential,
+        listener: TcpListener,
+        handler: F,
+    ) -> JoinHandle<()>
+    where
+        F: Fn(Request) -> Fut + Clone + 'static,
+        Fut: Future<Output = Response<BoxBody>> + 'static,
+    {
+        let (listener, connections) = (Rc::new(listener), self.connections.clone());
+        self.supervise(task, move |carrier| {
+            serve_http(
+                carrier,
+                connections.clone(),
+                listener.clone(),
+                handler.clone(),
+            )
+        })
     }
 
     /// Returns the addresses that the node listens on.
@@ -517,7 +563,7 @@
 async fn accept_callers(
     carrier: Rc<Carrier>,
     connections: Rc<OpenConnections>,
-    listener: TcpListener,
+    listener: Rc<TcpListener>,
 ) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -594,7 +640,7 @@
 async fn serve_http<F, Fut>(
     carrier: Rc<Carrier>,
     connections: Rc<OpenConnections>,
-    listener: TcpListener,
+    listener: Rc<TcpListener>,
     handler: F,
 ) where
     F: Fn(Request) -> Fut + Clone + 'static,
@@ -671,7 +717,7 @@
     }
 }
 
-async fn accept_links(carrier: Rc<Carrier>, listener: TcpListener) {
+async fn accept_links(carrier: Rc<Carrier>, listener: Rc<TcpListener>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => Links::accept(&carrier, stream),
@@ -706,6 +752,7 @@
         }
         carrier.on(Event::Tick);
         let now = Clock.now();
+        carrier.last_tick.set(now);
         if now.since(last_maintenance) >= MAINTENANCE_INTERVAL {
             last_maintenance = now;
             carrier.core_mut().set_wall_clock(now, Clock.wall());
--- a/tests/task/containment.rs
+++ b/tests/task/containment.rs
@@ -40,6 +40,7 @@
     task::Unit,
 };
 use serde_json::json;
+use tokio::sync::Notify;
 
 use crate::{
     bench::{
@@ -47,6 +48,8 @@
         Platform,
         SECRET,
         Site,
+        TOKEN,
+        node,
         run,
         settle,
         snapshot,
@@ -74,6 +77,57 @@
     outcome.unwrap_or_else(|_| panic!("never: {what}"))
 }
 
+/// Guards against a node that no longer ticks, so that no request reaches its deadline.
+#[test]
+fn a_panic_in_a_tick_does_not_stop_the_ticks() {
+    run(async {
+        let site = Site::start(|_| Act::Silence).await;
+        trap::set("summary", 2);
+        until("both nodes met it", || trap::left() == 0).await;
+        let caller = site.caller();
+        let answer = soon("a deadline", caller.get("/brief/a", &[AUTH])).await;
+        assert_eq!(answer.expect("a refusal").status, 504);
+    });
+}
+
+/// Guards against a node that runs on without its ticks, and says that it is ready.
+#[test]
+fn a_node_whose_ticks_always_panic_ends() {
+    run(async {
+        let site = Site::start(|_| Act::whole("")).await;
+        let health = Caller::new(site.edge.addresses().operators);
+        trap::set("summary", ALWAYS);
+        until("it drains", || site.edge.is_draining()).await;
+        let answer = health.get("/health", &[]).await.expect("an answer");
+        assert_eq!(answer.status, 503);
+        assert_eq!(soon("an end", site.edge.wait()).await, Stop::Failed);
+    });
+}
+
+/// Guards against a failed node that ends without answering what still runs.
+#[test]
+fn what_runs_at_a_failed_node_is_answered() {
+    run(async {
+        let release = Rc::new(Notify::new());
+        let held = release.clone();
+        let site =
+            Site::start(move |_| Act::Hold(held.clone(), Box::new(Act::whole("whole")))).await;
+        let caller = site.caller();
+        let running = caller.send("POST", "/a", &[AUTH], "charge");
+        let ending = async {
+            until("it runs", || !site.upstream.seen().is_empty()).await;
+            trap::set("summary", ALWAYS);
+            let drains = || site.edge.is_draining() && site.inner.is_draining();
+            until("both nodes drain", drains).await;
+            release.notify_one();
+        };
+        let (answer, ()) = soon("an answer", async { tokio::join!(running, ending) }).await;
+        assert_eq!(&answer.expect("an answer").body[..], b"whole");
+        assert_eq!(soon("an end", site.edge.wait()).await, Stop::Failed);
+        assert_eq!(soon("an end", site.inner.wait()).await, Stop::Failed);
+    });
+}
+
 /// Guards against a node that runs on although none of its decisions can be carried out.
 #[test]
 fn a_node_whose_decisions_always_panic_ends() {
@@ -301,3 +355,44 @@
         }
     });
 }
+
+/// Guards against panics that only standard error tells of.
+#[test]
+fn metrics_count_panics_and_show_the_tasks() {
+    run(async {
+        let edge = text(
+            "edge",
+            "front",
+            "127.0.0.1:1".parse().expect("an address"),
+            SECRET,
+            "{}",
+        );
+        let edge = node(&edge, &Platform::default()).await;
+        edge.adopt(Rc::new(snapshot()));
+        let caller = Caller::new(edge.addresses().callers);
+        settle(&caller).await;
+        trap::set("summary", 1);
+        until("a panic", || trap::left() == 0).await;
+        let operator = Caller::new(edge.addresses().operators);
+        let bearer = format!("Bearer {TOKEN}");
+        let mut seen = String::new();
+        for _ in 0..1000 {
+            let answer = operator
+                .get("/metrics", &[("authorization", &bearer)])
+                .await;
+            let body = answer.expect("an answer").body;
+            seen = String::from_utf8(body.to_vec()).expect("text");
+            if seen.contains("bluebellswitch_task_running{task=\"Ticks\"} 1") {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        for line in [
+            "bluebellswitch_task_ended_total{reason=\"Ticks\"} 1",
+            "bluebellswitch_task_running{task=\"Ticks\"} 1",
+            "bluebellswitch_task_running{task=\"Callers\"} 1",
+        ] {
+            assert!(seen.contains(line), "{line}: {seen}");
+        }
+    });
+}
