Report panics as lines of the log

What operators saw: a panic was plain text on standard error, without a time or a task, and no counter told of it. A process that ended by a panic of its root task wrote nothing to its log.

Fix: a hook writes one line, `a panic`, with message, place, thread and task to the queue of the log. It takes no lock that it could wait for, is limited to the rate of failures, and counts what it leaves out as dropped; `panics` in the metrics counts all. A panic on the thread that writes the log ends that thread: lines are dropped and counted, and the process goes on, as it does when the thread cannot be started. A node that ends with another code than 0 says why in its last line, `the node ends`.

--- a/src/command/node.rs
+++ b/src/command/node.rs
@@ -44,7 +44,10 @@
     },
     settings::Settings,
     store::Store,
-    task::Essential,
+    task::{
+        Essential,
+        contain, //
+    },
 };
 
 /// Time after which a call to the platform's service counts as lost.
@@ -96,7 +99,16 @@
 /// Runs a node until it is told to stop.
 pub(crate) fn serve_node(start: Start) -> Result<(), Failure> {
     lines::init();
-    let served = actix_rt::System::new().block_on(serve(start));
+    let served = contain(|| actix_rt::System::new().block_on(serve(start)));
+    let served = served.unwrap_or_else(|panic| {
+        let reason = format!("the node panicked: {panic}");
+        Err(Error::new(Code::Fault, reason).into())
+    });
+    if let Err(failure) = &served {
+        failure.0.iter().for_each(|error| {
+            log::error!(code = error.number(); "the node ends: {}", error.reason());
+        });
+    }
     lines::flush();
     served
 }
--- a/src/process/export.rs
+++ b/src/process/export.rs
@@ -3,7 +3,10 @@
 //! All endpoints except `/health` check the operators' token.
 
 use std::{
-    cell::RefCell,
+    cell::{
+        Cell,
+        RefCell, //
+    },
     collections::HashMap,
     rc::Rc, //
 };
@@ -67,6 +70,9 @@
     load: Gauge<u64>,
     task_running: Gauge<u64>,
     tick_age: Gauge<u64>,
+    panics: Instrument<u64>,
+    /// Panics of the process that the instrument already includes.
+    exported_panics: Cell<u64>,
     named_limit: Gauge<f64>,
     counters: RefCell<HashMap<String, Instrument<u64>>>,
     /// Counter values that the instruments already include.
@@ -91,6 +97,8 @@
         let tick_age = meter
             .u64_gauge(format!("{METRIC_PREFIX}tick_age_ms"))
             .build();
+        let panics = meter.u64_counter(format!("{METRIC_PREFIX}panics")).build();
+        panics.add(0, &[]);
         let named_limit = meter
             .f64_gauge(format!("{METRIC_PREFIX}named_limit"))
             .build();
@@ -102,6 +110,8 @@
             load,
             task_running,
             tick_age,
+            panics,
+            exported_panics: Cell::new(0),
             named_limit,
             counters: RefCell::default(),
             exported: RefCell::default(),
@@ -174,6 +184,9 @@
         }
         let tick_age = Clock.now().since(self.carrier.last_tick.get());
         self.tick_age.record(tick_age.as_ms(), &[]);
+        let panics = crate::log::panics();
+        let exported = self.exported_panics.replace(panics);
+        self.panics.add(panics.saturating_sub(exported), &[]);
     }
 
     fn metrics(&self) -> Response<BoxBody> {
--- a/src/process/log.rs
+++ b/src/process/log.rs
@@ -5,13 +5,19 @@
 
 use std::{
     io::Write,
+    panic::{
+        self,
+        PanicHookInfo, //
+    },
     sync::{
+        Mutex,
         atomic::{
             AtomicU64,
             Ordering, //
         },
-        mpsc, //
+        mpsc,
     },
+    thread,
 };
 
 use log::kv::{
@@ -22,12 +28,17 @@
 };
 use serde_json::{
     Map,
-    Value as Json, //
+    Value as Json,
+    json, //
 };
 
-use crate::clock::{
-    Clock,
-    Span, //
+use crate::{
+    clock::{
+        Clock,
+        Span, //
+    },
+    event::LogBudget,
+    task,
 };
 
 /// Collects the key-value pairs of a record as JSON.
@@ -108,10 +119,64 @@
         if UNWRITTEN.load(Ordering::Relaxed) == 0 {
             return;
         }
-        std::thread::sleep(poll_interval.to_std());
+        thread::sleep(poll_interval.to_std());
     }
 }
 
+/// Maximum length of a panic's message in the log, in characters.
+const MAX_PANIC_CHARS: usize = 1000;
+
+/// Number of panics in the process.
+static PANICS: AtomicU64 = AtomicU64::new(0);
+
+/// Returns the number of panics since the process started, caught or not.
+pub fn panics() -> u64 {
+    PANICS.load(Ordering::Relaxed)
+}
+
+/// Writes a panic as one JSON line: its message, place, thread and task.
+///
+/// # Errors
+///
+/// Returns an error if writing to `out` fails.
+pub fn write_panic(out: &mut dyn Write, panic: &PanicHookInfo<'_>) -> std::io::Result<()> {
+    let place = panic.location().map(ToString::to_string);
+    let text: String = task::payload_text(panic.payload())
+        .chars()
+        .take(MAX_PANIC_CHARS)
+        .collect();
+    let line = json!({
+        "time_ms": Clock.wall(),
+        "level": "ERROR",
+        "target": OWN_TARGET_PREFIX,
+        "message": "a panic",
+        "panic": text,
+        "place": place.unwrap_or_default(),
+        "thread": thread::current().name().unwrap_or_default(),
+        "task": task::current_name(),
+    });
+    let mut line = line.to_string();
+    line.push('\n');
+    out.write_all(line.as_bytes())
+}
+
+/// Reports panics to the queue of lines, and counts them. A panic on any thread is
+/// reported; what it ends is for the owner of the thread or task to say.
+fn report_panics(lines: mpsc::SyncSender<Vec<u8>>) {
+    let budget = Mutex::new(LogBudget::FAILURES);
+    panic::set_hook(Box::new(move |panic| {
+        PANICS.fetch_add(1, Ordering::Relaxed);
+        // A lock that is held belongs to a panic at the same moment, which is reported.
+        let allowed = budget
+            .try_lock()
+            .is_ok_and(|mut budget| budget.take(Clock.now()));
+        match allowed {
+            true => drop(write_panic(&mut QueueWriter(lines.clone()), panic)),
+            false => drop(DROPPED_LINES.fetch_add(1, Ordering::Relaxed)),
+        }
+    }));
+}
+
 /// Queues lines without blocking on the reader of standard output.
 struct QueueWriter(mpsc::SyncSender<Vec<u8>>);
 
@@ -136,7 +201,7 @@
     while let Ok(first) = lines.recv() {
         let mut batch = first;
         let mut count = 1;
-        std::thread::sleep(WRITE_INTERVAL.to_std());
+        thread::sleep(WRITE_INTERVAL.to_std());
         while batch.len() < MAX_BATCH_BYTES
             && let Ok(line) = lines.try_recv()
         {
@@ -151,11 +216,14 @@
     }
 }
 
-/// Installs the logger, which writes to standard output. `RUST_LOG` sets the level;
+/// Installs the logger, which writes to standard output, and reports panics there. `RUST_LOG` sets the level;
 /// the default is `info`.
 pub fn init() {
     let (sender, lines) = mpsc::sync_channel(QUEUE_CAPACITY);
-    std::thread::spawn(move || write_batches(&lines, std::io::stdout()));
+    let writer = thread::Builder::new().name("log".to_owned());
+    // Without the thread, lines are dropped and counted.
+    let _ = writer.spawn(move || write_batches(&lines, std::io::stdout()));
+    report_panics(sender.clone());
     let env = env_logger::Env::default().default_filter_or("info");
     let _ = env_logger::Builder::from_env(env)
         .format(|out, record| write(out, record))
--- a/src/process/task.rs
+++ b/src/process/task.rs
@@ -173,6 +173,11 @@
     NAME.scope(name, future).await
 }
 
+/// Returns the name of the task that is running; empty if it has none.
+pub(crate) fn current_name() -> &'static str {
+    NAME.try_with(|name| *name).unwrap_or_default()
+}
+
 /// Limits how often something may happen within a time.
 #[derive(Clone, Debug)]
 pub struct Budget {
--- a/tests/task.rs
+++ b/tests/task.rs
@@ -10,6 +10,8 @@
 mod budget;
 #[path = "task/containment.rs"]
 mod containment;
+#[path = "task/hook.rs"]
+mod hook;
 #[path = "platform/site.rs"]
 #[expect(dead_code, reason = "the platform tests use the rest")]
 mod site;
