Keep the exit code where nobody reads standard error

What callers saw: a command or node whose standard error had lost its reader exited with 101 in place of the code of its failure, which supervisors branch on.

Cause: `eprintln!` panics when the write fails.

Evidence: the binary before this change, given `nonsense` and a closed pipe, exits with 101, and with 2 where standard error goes to /dev/null.

Why it works: the outcome of the write is ignored; the exit code does not depend on it.

--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -32,7 +32,13 @@
 pub mod quota;
 mod rates;
 
-use std::process::ExitCode;
+use std::{
+    io::{
+        self,
+        Write, //
+    },
+    process::ExitCode,
+};
 
 use bpaf::{
     Args,
@@ -127,7 +133,7 @@
         },
         Err(ParseFailure::Stderr(text)) => {
             let reason = text.monochrome(true);
-            eprintln!("{}", Error::new(Code::Usage, reason.trim_end()));
+            print_error(&Error::new(Code::Usage, reason.trim_end()));
             ExitCode::from(EXIT_USAGE)
         }
         Err(other) => {
@@ -140,11 +146,16 @@
 /// Prints every error and returns the exit code of the first.
 fn report(failure: &Failure) -> u8 {
     for error in &failure.0 {
-        eprintln!("{error}");
+        print_error(error);
     }
     failure.0.first().map_or(1, exit_code)
 }
 
+/// Prints an error. The exit code matters more than a message that nobody reads.
+fn print_error(error: &Error) {
+    let _ = writeln!(io::stderr(), "{error}");
+}
+
 fn exit_code(error: &Error) -> u8 {
     if error.number() == Code::Broken as u16 {
         return 1;
--- a/tests/task.rs
+++ b/tests/task.rs
@@ -10,6 +10,8 @@
 mod budget;
 #[path = "task/containment.rs"]
 mod containment;
+#[path = "task/exit.rs"]
+mod exit;
 #[path = "task/hook.rs"]
 mod hook;
 #[path = "platform/site.rs"]
