--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -32,7 +32,13 @@
 pub mod quota;
 mod rates;
 
-use std::process::ExitCode;
+use std::{
+    io::{
+        self,
+        Write, //
+    },
+    process::ExitCode,
+};
 
 use bpaf::{
     Args,
@@ -115,7 +121,7 @@
         .descr("An overload control layer for service call graphs")
         .footer(
             "Exit codes: 0 done, 1 a promise broke, 2 usage, 3 bad input, 4 conflict, \
-             5 the platform's service, 6 a node, 7 the operating system",
+             5 the platform's service, 6 a node, 7 the operating system, 8 a fault of its own",
         )
         .fallback_to_usage()
         .max_width(HELP_WIDTH)
@@ -136,7 +142,7 @@
         },
         Err(ParseFailure::Stderr(text)) => {
             let reason = text.monochrome(true);
-            eprintln!("{}", Error::new(Code::Usage, reason.trim_end()));
+            print_error(&Error::new(Code::Usage, reason.trim_end()));
             ExitCode::from(EXIT_USAGE)
         }
         Err(other) => {
@@ -149,11 +155,16 @@
 /// Prints every error and returns the exit code of the first.
 fn report(failure: &Failure) -> u8 {
     for error in &failure.0 {
-        eprintln!("{error}");
+        print_error(error);
     }
     failure.0.first().map_or(1, exit_code)
 }
 
+/// Prints an error. The exit code matters more than a message that nobody reads.
+fn print_error(error: &Error) {
+    let _ = writeln!(io::stderr(), "{error}");
+}
+
 fn exit_code(error: &Error) -> u8 {
     if error.number() == Code::Broken as u16 {
         return 1;
@@ -167,5 +178,6 @@
         Category::Store => 5,
         Category::Peer => 6,
         Category::Io => 7,
+        Category::Fault => 8,
     }
 }
--- a/src/command/node.rs
+++ b/src/command/node.rs
@@ -16,6 +16,7 @@
     construct,
     long, //
 };
+use tokio::sync::Mutex;
 
 use super::{
     Failure,
@@ -43,9 +44,14 @@
         Hangup,
         Prepared,
         Signals,
-        Starting, //
+        Starting,
+        Terminate, //
     },
     store::Store,
+    task::{
+        Essential,
+        contain, //
+    },
 };
 
 /// The name of the subcommand.
@@ -150,9 +156,13 @@
     let Runtime { system, signals } = runtime.take();
     lines::init();
     let served = match signals {
-        Ok(signals) => system.block_on(serve(start, signals)),
-        Err(error) => Err(error.into()),
+        Ok(signals) => contain(|| system.block_on(serve(start, signals))),
+        Err(error) => Ok(Err(error.into())),
     };
+    let served = served.unwrap_or_else(|panic| {
+        let reason = format!("the node panicked: {panic}");
+        Err(Error::new(Code::Fault, reason).into())
+    });
     if let Err(Failure(errors)) = &served {
         for error in errors {
             log::error!(code = error.number(); "the node ends: {error}");
@@ -170,7 +180,7 @@
         return Ok(());
     };
     let Prepared {
-        mut terminate,
+        terminate,
         hangup,
         path,
         text,
@@ -192,11 +202,15 @@
         text,
         bounds: start.bounds,
     };
-    actix_rt::spawn(reload(file, handle.clone(), hangup));
-    actix_rt::spawn(async move {
-        terminate.received().await;
-        log::info!("told to stop; the node drains");
-        handle.drain();
+    let watched = Rc::new(Mutex::new((file, hangup)));
+    let reloaded = handle.clone();
+    handle.supervise(Essential::Settings, move || {
+        reload(watched.clone(), reloaded.clone())
+    });
+    let terminate = Rc::new(Mutex::new(terminate));
+    let stopped = handle.clone();
+    handle.supervise(Essential::Signals, move || {
+        stop(terminate.clone(), stopped.clone())
     });
     match server.wait().await {
         Stop::Clean => {
@@ -207,6 +221,20 @@
             let reason = "the drain time was over before every request had ended";
             Err(Error::new(Code::Broken, reason).into())
         }
+        Stop::Failed => {
+            let reason = "tasks or decisions of the node panicked too often";
+            Err(Error::new(Code::Fault, reason).into())
+        }
+    }
+}
+
+/// Drains the node whenever a signal tells it to stop.
+async fn stop(terminate: Rc<Mutex<Terminate>>, handle: Handle) {
+    let terminate = &mut *terminate.lock().await;
+    loop {
+        terminate.received().await;
+        handle.drain();
+        log::info!("told to stop; the node drains");
     }
 }
 
@@ -219,7 +247,8 @@
 
 /// Looks at the settings when told to, and now and then without being told: the
 /// file may change without a signal. A file that is wrong changes nothing.
-async fn reload(mut file: File, handle: Handle, mut hangup: Hangup) {
+async fn reload(watched: Rc<Mutex<(File, Hangup)>>, handle: Handle) {
+    let (file, hangup) = &mut *watched.lock().await;
     loop {
         let _ = tokio::time::timeout(RELOAD_INTERVAL.to_std(), hangup.received()).await;
         let Ok(now) = std::fs::read_to_string(&file.path) else {
--- a/src/error.rs
+++ b/src/error.rs
@@ -36,6 +36,8 @@
     Peer,
     /// The operating system refused something.
     Io,
+    /// A fault of this program.
+    Fault,
 }
 
 macro_rules! codes {
@@ -100,6 +102,8 @@
     Io = 7001, Io;
     /// An address to listen on cannot be bound.
     Bind = 7002, Io;
+    /// Tasks or decisions of a node panicked again and again.
+    Fault = 8001, Fault;
 }
 
 impl Error {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -65,7 +65,8 @@
         server,
         settings,
         start,
-        store, //
+        store,
+        task, //
     },
     request::{
         admission,
@@ -106,6 +107,7 @@
         intake,
         links,
         probe,
+        recovery,
         reported, //
     },
     request::pending,
--- a/src/process/export.rs
+++ b/src/process/export.rs
@@ -3,7 +3,10 @@
 //! All endpoints except `/health` check the operators' token.
 
 use std::{
-    cell::RefCell,
+    cell::{
+        Cell,
+        RefCell, //
+    },
     collections::HashMap,
     rc::Rc, //
 };
@@ -65,6 +68,11 @@
     _provider: SdkMeterProvider,
     meter: Meter,
     load: Gauge<u64>,
+    task_running: Gauge<u64>,
+    tick_age: Gauge<u64>,
+    panics: Instrument<u64>,
+    /// Panics of the process that the instrument already includes.
+    exported_panics: Cell<u64>,
     named_limit: Gauge<f64>,
     counters: RefCell<HashMap<String, Instrument<u64>>>,
     /// Counter values that the instruments already include.
@@ -83,6 +91,14 @@
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("bluebellswitch");
         let load = meter.u64_gauge(format!("{METRIC_PREFIX}load")).build();
+        let task_running = meter
+            .u64_gauge(format!("{METRIC_PREFIX}task_running"))
+            .build();
+        let tick_age = meter
+            .u64_gauge(format!("{METRIC_PREFIX}tick_age_ms"))
+            .build();
+        let panics = meter.u64_counter(format!("{METRIC_PREFIX}panics")).build();
+        panics.add(0, &[]);
         let named_limit = meter
             .f64_gauge(format!("{METRIC_PREFIX}named_limit"))
             .build();
@@ -92,6 +108,10 @@
             _provider: provider,
             meter,
             load,
+            task_running,
+            tick_age,
+            panics,
+            exported_panics: Cell::new(0),
             named_limit,
             counters: RefCell::default(),
             exported: RefCell::default(),
@@ -143,6 +163,7 @@
         let named_limit = core.load(Clock.now()).named_limit;
         self.named_limit
             .record(named_limit.map_or(f64::INFINITY, Rate::as_f64), &[]);
+        self.refresh_tasks();
         let (calls, sent, received) = self.carrier.load();
         let (dialed, accepted) = self.carrier.links.counts();
         for (kind, count) in [
@@ -157,6 +178,18 @@
         }
     }
 
+    fn refresh_tasks(&self) {
+        for (task, runs) in self.carrier.tasks.running() {
+            let label = KeyValue::new("task", task.to_string());
+            self.task_running.record(u64::from(runs), &[label]);
+        }
+        let tick_age = Clock.now().since(self.carrier.last_tick.get());
+        self.tick_age.record(tick_age.as_ms(), &[]);
+        let panics = crate::log::panics();
+        let exported = self.exported_panics.replace(panics);
+        self.panics.add(panics.saturating_sub(exported), &[]);
+    }
+
     fn metrics(&self) -> Response<BoxBody> {
         self.refresh();
         let mut text = Vec::new();
--- a/src/process/metric.rs
+++ b/src/process/metric.rs
@@ -14,6 +14,10 @@
         Reason,
         class::Progress, //
     },
+    task::{
+        Essential,
+        Unit, //
+    },
 };
 
 /// Origin of a request that was started at the upstream.
@@ -158,6 +162,10 @@
     AnswerCut,
     /// Requests of callers whose connection ended before there was an answer.
     Unanswered(ConnectionEnd),
+    /// Panics that ended a unit of work, by its kind.
+    Panicked(Unit),
+    /// Ends of tasks without which the node does not work; they are started again.
+    TaskEnded(Essential),
     /// Answers that were ready when the connection of their caller ended, but not
     /// written.
     AnswerUnsent(ConnectionEnd),
--- a/src/process/quota/bank/mint.rs
+++ b/src/process/quota/bank/mint.rs
@@ -350,7 +350,8 @@
             millis: lent.max(tokens * MILLIS_PER_TOKEN),
             life: request.life.min(DEMAND_MEMORY),
         });
-        let rest = brought_millis + lent - tokens * MILLIS_PER_TOKEN;
+        let held = brought_millis.saturating_add(lent);
+        let rest = held - tokens * MILLIS_PER_TOKEN;
         LendReply {
             tokens: tokens as u32,
             fraction: match leaves_fraction {
--- a/src/process/server.rs
+++ b/src/process/server.rs
@@ -78,6 +78,12 @@
         Settings, //
     },
     store::Store,
+    task::{
+        Essential,
+        Unit,
+        contain_unit,
+        supervise, //
+    },
 };
 
 /// Maximum time between two ticks while requests are in progress.
@@ -141,6 +147,9 @@
     /// The grace period or drain time ended first. Callers whose requests were still
     /// running were told so.
     Cut,
+    /// Tasks or decisions of the node panicked too often. Callers whose requests were
+    /// still running when the drain time ended were told so.
+    Failed,
 }
 
 /// Controls a node while [`Server::wait`] owns the server.
@@ -159,6 +168,15 @@
     pub fn reload(&self, settings: Settings, bounds: Bounds) -> Vec<&'static str> {
         self.0.reload(settings, bounds)
     }
+
+    /// Runs a task that belongs to the node, and starts it again whenever it ends.
+    pub(crate) fn supervise<F, Fut>(&self, task: Essential, start: F)
+    where
+        F: Fn() -> Fut + 'static,
+        Fut: Future<Output = ()> + 'static,
+    {
+        actix_rt::spawn(supervise(self.0.clone(), task, start));
+    }
 }
 
 /// Tracks the open HTTP connections and tells them when to close.
@@ -170,6 +188,23 @@
     count_changed: Notify,
 }
 
+/// An open connection, counted until it is dropped.
+struct OpenConnection(Rc<OpenConnections>);
+
+impl OpenConnection {
+    fn count(connections: &Rc<OpenConnections>) -> Self {
+        connections.count.set(connections.count.get() + 1);
+        Self(connections.clone())
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.count.set(self.0.count.get() - 1);
+        self.0.count_changed.notify_waiters();
+    }
+}
+
 /// A running node.
 pub struct Server {
     carrier: Rc<Carrier>,
@@ -259,6 +294,7 @@
 
     async fn spawn_tasks(&mut self, listeners: Listeners, links: TcpListener) {
         let carrier = &self.carrier;
+        let mut tasks = Vec::new();
         let Listeners {
             callers,
             service,
@@ -275,47 +311,81 @@
                     let handler_carrier = carrier.clone();
                     let handler =
                         move |request| caller::serve(handler_carrier.clone(), side, request);
-                    let task =
-                        serve_http(carrier.clone(), self.connections.clone(), listener, handler);
-                    self.tasks.push(actix_rt::spawn(task));
+                    let task = match side {
+                        ListenerKind::Callers => Essential::Callers,
+                        ListenerKind::Service => Essential::Service,
+                    };
+                    tasks.push(self.serve_http(task, listener, handler));
                 }
             }
             // Without a listener of its own, the service uses that of the
             // callers.
             None => {
-                let task = accept_callers(carrier.clone(), self.connections.clone(), callers);
-                self.tasks.push(actix_rt::spawn(task));
+                let (listener, connections) = (Rc::new(callers), self.connections.clone());
+                tasks.push(self.supervise(Essential::Callers, move |carrier| {
+                    accept_callers(carrier, connections.clone(), listener.clone())
+                }));
             }
         }
         if let Some(listener) = announcements {
             let handler_carrier = carrier.clone();
             let handler = move |request| beside::serve(handler_carrier.clone(), request);
-            let task = serve_http(carrier.clone(), self.connections.clone(), listener, handler);
-            self.tasks.push(actix_rt::spawn(task));
+            tasks.push(self.serve_http(Essential::Announcements, listener, handler));
         }
         if let Some(listener) = ready {
             let handler_carrier = carrier.clone();
             let handler = move |request| readiness(handler_carrier.clone(), request);
-            let task = serve_http(carrier.clone(), self.connections.clone(), listener, handler);
-            self.tasks.push(actix_rt::spawn(task));
+            tasks.push(self.serve_http(Essential::Readiness, listener, handler));
         }
         let operator = Rc::new(export::OperatorApi::new(carrier.clone()));
         let handler = move |request| export::serve(operator.clone(), request);
-        let task = serve_http(
-            carrier.clone(),
-            self.connections.clone(),
-            operators,
-            handler,
-        );
-        self.tasks.push(actix_rt::spawn(task));
-        for task in [
-            actix_rt::spawn(accept_links(carrier.clone(), links)),
-            actix_rt::spawn(receive_datagrams(carrier.clone())),
-            actix_rt::spawn(run_ticks(carrier.clone())),
-            actix_rt::spawn(probe::run(carrier.clone())),
-        ] {
-            self.tasks.push(task);
-        }
+        let links = Rc::new(links);
+        let findings = Rc::new(probe::Findings::default());
+        tasks.extend([
+            self.serve_http(Essential::Operators, operators, handler),
+            self.supervise(Essential::Links, move |carrier| {
+                accept_links(carrier, links.clone())
+            }),
+            self.supervise(Essential::Datagrams, receive_datagrams),
+            self.supervise(Essential::Ticks, run_ticks),
+            self.supervise(Essential::Probe, move |carrier| {
+                probe::run(carrier, findings.clone())
+            }),
+        ]);
+        self.tasks = tasks;
+    }
+
+    /// Starts an essential task.
+    fn supervise<F, Fut>(&self, task: Essential, start: F) -> JoinHandle<()>
+    where
+        F: Fn(Rc<Carrier>) -> Fut + 'static,
+        Fut: Future<Output = ()> + 'static,
+    {
+        let carrier = self.carrier.clone();
+        let start = move || start(carrier.clone());
+        actix_rt::spawn(supervise(self.carrier.clone(), task, start))
+    }
+
+    /// Starts the task that serves HTTP on a listener.
+    fn serve_http<F, Fut>(
+        &self,
+        task: Essential,
+        listener: TcpListener,
+        handler: F,
+    ) -> JoinHandle<()>
+    where
+        F: Fn(Request) -> Fut + Clone + 'static,
+        Fut: Future<Output = Response<BoxBody>> + 'static,
+    {
+        let (listener, connections) = (Rc::new(listener), self.connections.clone());
+        self.supervise(task, move |carrier| {
+            serve_http(
+                carrier,
+                connections.clone(),
+                listener.clone(),
+                handler.clone(),
+            )
+        })
     }
 
     /// Returns the addresses that the node listens on.
@@ -403,8 +473,10 @@
         let limit = self.drain_limit();
         let stopped = tokio::time::timeout(limit.to_std(), self.carrier.stopped()).await;
         self.carrier.on(Event::DrainEnded);
+        self.carrier.refuse_remaining();
         self.close().await;
         match stopped {
+            _ if self.carrier.has_failed() => Stop::Failed,
             Ok(()) => Stop::Clean,
             Err(_) => Stop::Cut,
         }
@@ -543,7 +615,8 @@
     if request.path() != carrier.interface.ready_path {
         return Response::new(StatusCode::NOT_FOUND).set_body(BoxBody::new(()));
     }
-    let status = match carrier.core().is_ready(Clock.now()) {
+    let is_ready = !carrier.has_failed() && carrier.core().is_ready(Clock.now());
+    let status = match is_ready {
         true => StatusCode::OK,
         false => StatusCode::SERVICE_UNAVAILABLE,
     };
@@ -554,7 +627,7 @@
 async fn accept_callers(
     carrier: Rc<Carrier>,
     connections: Rc<OpenConnections>,
-    listener: TcpListener,
+    listener: Rc<TcpListener>,
 ) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -569,16 +642,15 @@
         let _ = stream.set_nodelay(true);
         let (carrier, connections) = (carrier.clone(), connections.clone());
         actix_rt::spawn(async move {
-            carrier
-                .caller_connections
-                .set(carrier.caller_connections.get() + 1);
-            connections.count.set(connections.count.get() + 1);
-            door::serve(carrier.clone(), stream, wait_for_close(connections.clone())).await;
-            carrier
-                .caller_connections
-                .set(carrier.caller_connections.get() - 1);
-            connections.count.set(connections.count.get() - 1);
-            connections.count_changed.notify_waiters();
+            let open = &carrier.caller_connections;
+            open.set(open.get() + 1);
+            let counted = OpenConnection::count(&connections);
+            let serve = door::serve(carrier.clone(), stream, wait_for_close(connections));
+            if let Err(panic) = contain_unit(Unit::Connection, serve).await {
+                carrier.record_panic(Unit::Connection, &"", &panic);
+            }
+            open.set(open.get() - 1);
+            drop(counted);
         });
     }
 }
@@ -629,13 +701,14 @@
 async fn serve_http<F, Fut>(
     carrier: Rc<Carrier>,
     connections: Rc<OpenConnections>,
-    listener: TcpListener,
+    listener: Rc<TcpListener>,
     handler: F,
 ) where
     F: Fn(Request) -> Fut + Clone + 'static,
     Fut: Future<Output = Response<BoxBody>> + 'static,
 {
     let closing = connections.clone();
+    let handler_carrier = carrier.clone();
     let limits = carrier.limits();
     let factory = HttpService::build()
         .keep_alive(KeepAlive::Timeout(std::time::Duration::from_secs(75)))
@@ -647,7 +720,7 @@
         })
         .graceful_shutdown_signal(move || wait_for_close(closing.clone()))
         .h1(fn_service(move |request| {
-            let response = handler(request);
+            let response = respond(handler_carrier.clone(), handler.clone(), request);
             async move { Ok::<_, Infallible>(response.await) }
         }))
         .tcp();
@@ -667,18 +740,37 @@
             continue;
         }
         let _ = stream.set_nodelay(true);
-        let (service, open, connections) = (service.clone(), open.clone(), connections.clone());
+        let (carrier, service, open) = (carrier.clone(), service.clone(), open.clone());
+        let counted = OpenConnection::count(&connections);
         actix_rt::spawn(async move {
             open.set(open.get() + 1);
-            connections.count.set(connections.count.get() + 1);
-            let _ = service.call(stream).await;
+            let serve = async { service.call(stream).await };
+            if let Err(panic) = contain_unit(Unit::Connection, serve).await {
+                carrier.record_panic(Unit::Connection, &"", &panic);
+            }
             open.set(open.get() - 1);
-            connections.count.set(connections.count.get() - 1);
-            connections.count_changed.notify_waiters();
+            drop(counted);
         });
     }
 }
 
+/// Handles one request. A handler that panics is answered for.
+async fn respond<F, Fut>(carrier: Rc<Carrier>, handler: F, request: Request) -> Response<BoxBody>
+where
+    F: Fn(Request) -> Fut,
+    Fut: Future<Output = Response<BoxBody>>,
+{
+    let path = request.path().to_owned();
+    let handle = async move { handler(request).await };
+    match contain_unit(Unit::Request, handle).await {
+        Ok(response) => response,
+        Err(panic) => {
+            carrier.record_panic(Unit::Request, &path, &panic);
+            Response::new(StatusCode::INTERNAL_SERVER_ERROR).set_body(BoxBody::new(()))
+        }
+    }
+}
+
 /// Waits until the server closes its connections.
 async fn wait_for_close(connections: Rc<OpenConnections>) {
     while !connections.closing.get() {
@@ -686,7 +778,7 @@
     }
 }
 
-async fn accept_links(carrier: Rc<Carrier>, listener: TcpListener) {
+async fn accept_links(carrier: Rc<Carrier>, listener: Rc<TcpListener>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => Links::accept(&carrier, stream),
@@ -721,6 +813,7 @@
         }
         carrier.on(Event::Tick);
         let now = Clock.now();
+        carrier.last_tick.set(now);
         if now.since(last_maintenance) >= MAINTENANCE_INTERVAL {
             last_maintenance = now;
             carrier.core_mut().set_wall_clock(now, Clock.wall());
