Close the connections of a server that ends in a soak

`Server::crash` dropped the upstream right after `end`, which aborts the task that tells the connections. `Upstream::close` waits for it.

--- a/src/soak/server.rs
+++ b/src/soak/server.rs
@@ -230,7 +230,7 @@
     pub(super) fn crash(&self) {
         self.state.set(State::Gone);
         if let Some(upstream) = self.upstream.borrow_mut().take() {
-            upstream.end();
+            actix_rt::spawn(upstream.close());
         }
     }
 
--- a/src/standin/upstream.rs
+++ b/src/standin/upstream.rs
@@ -204,6 +204,12 @@
         self.state.changed.notify_waiters();
     }
 
+    /// Ends, and returns once it listens no more and all connections are about to close.
+    pub async fn close(self) {
+        self.end();
+        self.state.deaf().await;
+    }
+
     /// Forgets what it sees from now on, for long runs.
     pub fn forget(&self) {
         self.state.keep.set(false);
