Soak: answers cut within their head, and a stricter check of answers

`Garble::Cut` cuts at half of the bytes, which is always in the body. The fault `head-cut` ends an answer at any place of its head, with a length, chunked, or until close, and closes or resets the connection. An answer that ends with its connection keeps at least the last byte of its head back: with it, it is whole.

MIXED now holds for the body of each sealed answer, not of successes alone, and for a sealed answer without the id of its request.

--- a/src/soak/client.rs
+++ b/src/soak/client.rs
@@ -464,9 +464,10 @@
     let wrong = match &seal {
         _ if is_other => Some("the answer to another request"),
         None if is_success => Some("a success without a seal"),
+        Some(_) if answer.id.is_none() => Some("a server's answer without its id"),
         Some(seal) if answer.status != seal.status => Some("another status than the server's"),
         Some(seal) if !made_by(seal) => Some("an answer that the server has not made"),
-        Some(_) if is_success && answer.body != server::answer_body(id) => Some("another body"),
+        Some(_) if answer.body != server::answer_body(id) => Some("another body"),
         _ => None,
     };
     if let Some(request) = record.requests.get_mut(id) {
--- a/src/soak/plan.rs
+++ b/src/soak/plan.rs
@@ -76,6 +76,8 @@
     Garble = "garble";
     /// A server runs requests and answers with a status that promises the opposite.
     Unproven = "unproven";
+    /// A server breaks off within the heads of answers.
+    HeadCut = "head-cut";
     /// A server loses answers.
     Lose = "lose";
     /// A server accepts requests and does not answer.
@@ -208,7 +210,12 @@
             machine.server.faults.borrow_mut().slow = 0;
         }
         Fault::Silent => spoil(machine, short, |faults| faults.silent = true).await,
-        Fault::Shed | Fault::ShedAndCopy | Fault::Garble | Fault::Unproven | Fault::Lose => {
+        Fault::Shed
+        | Fault::ShedAndCopy
+        | Fault::Garble
+        | Fault::Unproven
+        | Fault::HeadCut
+        | Fault::Lose => {
             spoil(machine, long, |faults| draw_spoil(fault, rng, faults)).await;
         }
         Fault::Crash | Fault::Reuse | Fault::Leave => {
@@ -288,6 +295,10 @@
             faults.garble = rng.random_range(0.02..0.3);
             faults.garbles.push(Garble::Unproven);
         }
+        Fault::HeadCut => {
+            faults.garble = rng.random_range(0.02..0.3);
+            faults.garbles.push(Garble::HeadCut);
+        }
         _ => {
             faults.lose = rng.random_range(0.02..0.3);
             faults.reset = rng.random();
--- a/src/soak/server.rs
+++ b/src/soak/server.rs
@@ -85,8 +85,21 @@
     Unframed,
     /// A status that promises not to have run, without the header that says so.
     Unproven,
+    /// It breaks off within its head.
+    HeadCut,
 }
 
+/// How the end of an answer is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Framing {
+    Length,
+    Chunked,
+    /// By the end of its connection.
+    Close,
+}
+
+const FRAMINGS: [Framing; 3] = [Framing::Length, Framing::Chunked, Framing::Close];
+
 /// Those that no answer of a server can mean.
 pub(super) const GARBLES: [Garble; 5] = [
     Garble::Cut,
@@ -328,17 +341,26 @@
         Act::Answer(self.status, self.headers, self.body)
     }
 
-    /// The answer as it is written, with its length or without.
-    fn bytes(&self, has_length: bool) -> Bytes {
+    /// The head as it is written.
+    fn head(&self, framing: Framing) -> String {
         let mut text = format!("HTTP/1.1 {} Status\r\n", self.status);
         for (name, value) in &self.headers {
             text.push_str(&format!("{name}: {value}\r\n"));
         }
-        if has_length {
-            text.push_str(&format!("content-length: {}\r\n", self.body.len()));
+        match framing {
+            Framing::Length => {
+                text.push_str(&format!("content-length: {}\r\n", self.body.len()));
+            }
+            Framing::Chunked => text.push_str("transfer-encoding: chunked\r\n"),
+            Framing::Close => {}
         }
         text.push_str("\r\n");
-        [text.as_bytes(), &self.body].concat().into()
+        text
+    }
+
+    /// The whole answer as it is written without chunks.
+    fn bytes(&self, framing: Framing) -> Bytes {
+        [self.head(framing).as_bytes(), &self.body].concat().into()
     }
 }
 
@@ -506,7 +528,7 @@
             return answer.act();
         }
         let drawn = self.world.draw(0..faults.garbles.len() as u64) as usize;
-        let bytes = answer.bytes(true);
+        let bytes = answer.bytes(Framing::Length);
         match faults.garbles[drawn] {
             Garble::Cut => Act::Raw(bytes.slice(..bytes.len() / 2)),
             Garble::Junk => {
@@ -518,15 +540,31 @@
                 self.late.borrow_mut().insert(seen.connection, bytes);
                 answer.act()
             }
-            Garble::Unframed => Act::Raw(answer.bytes(false)),
+            Garble::Unframed => Act::Raw(answer.bytes(Framing::Close)),
             Garble::Unproven if answer.status == 200 => {
                 let status = [408, 429, 503][self.world.draw(0..3) as usize];
                 Act::Answer(status, self.echo(seen), Bytes::from_static(b"busy"))
             }
             Garble::Unproven => answer.act(),
+            Garble::HeadCut => self.cut_head(&answer),
         }
     }
 
+    /// Writes a part of an answer's head, then closes or resets the connection.
+    fn cut_head(&self, answer: &Answer) -> Act {
+        let framing = FRAMINGS[self.world.draw(0..FRAMINGS.len() as u64) as usize];
+        let head = answer.head(framing);
+        // With its head, an answer that ends with its connection is whole.
+        let most = head.len() - usize::from(framing == Framing::Close);
+        let cut = match self.world.chance(0.5) {
+            true => self.world.draw(1..most as u64 + 1) as usize,
+            // Around the end of the last line and the empty line.
+            false => most - self.world.draw(0..5) as usize,
+        };
+        let part = Bytes::copy_from_slice(&head.as_bytes()[..cut]);
+        Act::Before(part, Box::new(Act::Close(self.world.chance(0.5))))
+    }
+
     /// Checks that a request that is about to run is one that a client has sent.
     fn check(&self, seen: &Seen) {
         let names = self.world.dialect.names();
