Soak: faults at the start and the end of a process, READY and SERVED

The soak signalled only processes that had been up for long, and a fleet that serves nothing broke no rule.

Faults: `early-hang-up` (the next life of a node gets SIGHUP, with or without a changed file, or SIGTERM, 0 to 60 ms after its start, in series), `address-in-use` (one of a node's five TCP listeners or its UDP port is held for 0.2 to 3 s when it starts), `torn-settings` (the settings are empty, half written, junk or missing at a start or at a SIGHUP, and whole later) and `successor` (a process is started while the one before it drains).

READY: a node answers twice in a row that it is not ready though it and its server have had no fault for `contact_ms` and `catch_up_s`. SERVED: of the requests sent while no machine has had a fault for as long, more than 5 and one in 500 (the allowance of DENIED) fail by the nodes; eight seconds without faults follow the soak. LOST: a process that was told to end closes a connection while a sound server runs its request.

--- a/src/soak.rs
+++ b/src/soak.rs
@@ -12,8 +12,10 @@
 mod client;
 pub(crate) mod config;
 mod judge;
+mod life;
 mod machine;
 mod plan;
+mod process;
 mod record;
 mod relay;
 mod server;
@@ -78,6 +80,8 @@
 const WARM_UP: Span = Span::from_secs(2);
 /// Time without new faults at the end, for what runs to end.
 const COOL_DOWN: Span = Span::from_secs(4);
+/// Time after that in which the nodes serve again, on top of the length of the soak.
+const SETTLING: Span = Span::from_secs(8);
 /// Interval of the check whether this process itself gets processor time.
 const STALL_CHECK_INTERVAL: Span = Span::from_ms(20);
 /// From which delay on this process counts as stalled.
@@ -224,7 +228,7 @@
         interrupted = interrupted() => interrupted,
     };
     for machine in &world.machines {
-        machine.end();
+        machine.process.end();
     }
     played.map_err(|error| vec![error])?;
     let record = world.record();
@@ -279,6 +283,7 @@
     for machine in &world.machines {
         machine.relay().await?;
         machine.server.start(world, machine.number).await?;
+        machine.ailments.begin(Span::ZERO);
         actix_rt::spawn(machine::supervise(world.clone(), machine.number));
         actix_rt::spawn(server::announce(world.clone(), machine.number));
     }
@@ -286,10 +291,11 @@
     actix_rt::spawn(watch_stalls(world.clone()));
     for machine in &world.machines {
         client::start(world, machine.number);
+        actix_rt::spawn(machine::watch(world.clone(), machine.number));
     }
     pause(WARM_UP).await;
     plan::play(world).await;
-    pause(COOL_DOWN).await;
+    pause(COOL_DOWN + SETTLING).await;
     world.open.set(false);
     pause(client::LONGEST_DEADLINE + Span::from_ms(500)).await;
     Ok(())
--- a/src/soak/judge.rs
+++ b/src/soak/judge.rs
@@ -37,6 +37,8 @@
     pub(crate) grace: Span,
     pub(crate) apply: Span,
     pub(crate) revoke: Span,
+    /// How long after a fault a node may take until it serves.
+    pub(crate) catch_up: Span,
     pub(crate) retry_ratio: f64,
     pub(crate) retry_slack: f64,
     pub(crate) retry_window: Span,
@@ -53,6 +55,9 @@
 const MAX_LOST: usize = 3;
 /// From how many requests on lateness is judged.
 const MIN_LATE: usize = 8;
+/// Requests that may fail without a fault, and one more in so many.
+const MAX_UNSERVED: usize = 5;
+const REQUESTS_PER_UNSERVED: usize = 500;
 /// How long a machine must have been undisturbed before a rule on time binds it.
 const CONTACT: Span = Span::from_ms(3000);
 
@@ -170,8 +175,11 @@
     fn all(&self) -> Vec<(Rule, String)> {
         let mut broken = Vec::new();
         broken.extend(self.lost());
+        broken.extend(self.cut_short());
         broken.extend(self.broken_off());
         broken.extend(self.late());
+        broken.extend(self.unready());
+        broken.extend(self.unserved());
         broken.extend(self.quota());
         broken.extend(SERVICES.iter().filter_map(|service| self.budget(service)));
         broken
@@ -203,6 +211,33 @@
         }
     }
 
+    /// Requests that a process told to end broke off while a sound server had them.
+    fn cut_short(&self) -> Vec<(Rule, String)> {
+        let is_cut_short = |request: &Request| {
+            let Some((at, Got::Closed)) = request.got else {
+                return false;
+            };
+            let is_planned = |machine: usize| {
+                let machine = &self.world.machines[machine];
+                machine.is_calm_but_for_shutdown(request.sent, at)
+            };
+            let is_sound = |machine: usize| {
+                let server = &self.world.machines[machine].server;
+                server.is_sound(request.sent, at) && is_planned(machine)
+            };
+            request.runs().any(|run| is_sound(run.machine))
+                && is_planned(request.machine)
+                && !self.world.machines[request.machine].is_calm(request.sent, at)
+                && at.since(request.sent) < ROUTE_TIMEOUT
+                && !self.record.is_stalled(request.sent, at)
+        };
+        let requests = self.record.requests.iter();
+        let cut_short = requests.filter(|(_, request)| is_cut_short(request));
+        cut_short
+            .map(|(id, _)| (Rule::Lost, format!("{id} closed at a shutdown")))
+            .collect()
+    }
+
     /// Orders that a node broke off while a sound server worked on them.
     fn broken_off(&self) -> Vec<(Rule, String)> {
         let is_broken_off = |request: &Request| {
@@ -229,6 +264,83 @@
             .collect()
     }
 
+    /// Whether a machine has had no fault for as long as it may need to serve again.
+    fn is_recovered(&self, machine: usize, from: Time, to: Time) -> bool {
+        let catch_up = self.world.dialect.bounds().catch_up;
+        let from = Time::from_ms(from.as_ms().saturating_sub(catch_up.as_ms()));
+        self.world.machines[machine].is_well(from, to) && !self.record.is_stalled(from, to)
+    }
+
+    /// Nodes that answer twice in a row that they are not ready.
+    fn unready(&self) -> Vec<(Rule, String)> {
+        let mut broken = Vec::new();
+        for machine in &self.world.machines {
+            let readiness = machine.readiness.borrow();
+            let is_unready = |pair: &&[(Time, bool)]| {
+                let [(from, false), (to, false)] = pair else {
+                    return false;
+                };
+                self.is_recovered(machine.number, *from, *to)
+            };
+            let unready: Vec<_> = readiness.windows(2).filter(is_unready).collect();
+            if let Some(first) = unready.first() {
+                let (name, at) = (&machine.identity.name, first[0].0);
+                let case = format!("{name} at {at}, {} times", unready.len());
+                broken.push((Rule::Ready, case));
+            }
+        }
+        broken
+    }
+
+    /// Requests that nodes do not serve though no machine has a fault.
+    fn unserved(&self) -> Vec<(Rule, String)> {
+        let machines = 0..self.world.machines.len();
+        let is_judged = |request: &Request| {
+            let Some((at, _)) = request.got else {
+                return false;
+            };
+            let mut machines = machines.clone();
+            machines.all(|machine| self.is_recovered(machine, request.sent, at))
+        };
+        let requests = self.record.requests.iter();
+        let judged: Vec<_> = requests.filter(|(_, request)| is_judged(request)).collect();
+        let unserved: Vec<_> = judged
+            .iter()
+            .filter(|(_, request)| self.is_unserved(request))
+            .collect();
+        let allowed = MAX_UNSERVED + judged.len() / REQUESTS_PER_UNSERVED;
+        if unserved.len() <= allowed {
+            return Vec::new();
+        }
+        let case = |(id, request): &&(&String, &Request)| {
+            let got = request.got.map(|(_, got)| got);
+            (Rule::Served, format!("{id} got {got:?}"))
+        };
+        unserved.iter().map(case).collect()
+    }
+
+    /// Whether a node, and neither the server nor the client, kept a request from success.
+    fn is_unserved(&self, request: &Request) -> bool {
+        let Some((at, got)) = request.got else {
+            return false;
+        };
+        let configuration = self.world.configuration();
+        let key = request
+            .key
+            .as_deref()
+            .and_then(|key| configuration.key(key));
+        let is_limited = key.is_some_and(|key| key.team == LIMITED_TEAM);
+        let is_withdrawn = key.is_some_and(|key| key.removed.is_some());
+        match got {
+            Got::Status(429) if is_limited => false,
+            Got::Status(401 | 403) if is_withdrawn => false,
+            Got::Status(status) => !request.sealed && !(200..300).contains(&status),
+            Got::Closed => !request.kept && !request.is_behind,
+            Got::Unsent => true,
+            Got::Nothing => at.since(request.sent) >= ROUTE_TIMEOUT && !request.is_behind,
+        }
+    }
+
     /// Requests that outlast the timeout of their route.
     fn late(&self) -> Option<(Rule, String)> {
         let limit = ROUTE_TIMEOUT + LATENESS;
--- a/src/soak/machine.rs
+++ b/src/soak/machine.rs
@@ -11,20 +11,14 @@
         SocketAddr,
         TcpListener, //
     },
-    path::PathBuf,
     process::{
-        Child,
         Command,
         Stdio, //
     },
     rc::Rc,
 };
 
-use rustix::process::{
-    Pid,
-    Signal,
-    kill_process, //
-};
+use rustix::process::Signal;
 use tokio::{
     io::{
         AsyncReadExt,
@@ -40,6 +34,7 @@
     config::SERVICES,
     judge,
     pause,
+    process::Process,
     record::Rule,
     relay::Relay,
     server::Server,
@@ -71,6 +66,7 @@
 const LOCK: u8 = 255;
 const LOCK_PORT: u16 = 7999;
 const LINK_PORT: u16 = 7000;
+const OPERATOR_PORT: u16 = 7001;
 const STORE_PORT: u16 = 7400;
 const CALLER_PORT: u16 = 7100;
 const ANNOUNCEMENT_PORT: u16 = 7101;
@@ -78,7 +74,8 @@
 const SERVER_PORT: u16 = 7200;
 /// How often a process is looked after.
 const SUPERVISION_INTERVAL: Span = Span::from_ms(20);
-/// How long a readiness check may take.
+/// Interval of the readiness checks, and how long one may take.
+const READY_CHECK_INTERVAL: Span = Span::from_ms(250);
 const READY_CHECK_TIMEOUT: Span = Span::from_ms(500);
 
 /// The loopback addresses of one soak.
@@ -121,6 +118,7 @@
     pub(crate) links: SocketAddr,
     pub(crate) announcements: SocketAddr,
     pub(crate) ready: SocketAddr,
+    pub(super) operators: SocketAddr,
     pub(crate) server: SocketAddr,
     /// The store, through the machine's relay.
     pub(crate) store: SocketAddr,
@@ -140,6 +138,7 @@
             links,
             announcements: with_port(ANNOUNCEMENT_PORT),
             ready: with_port(READY_PORT),
+            operators: with_port(OPERATOR_PORT),
             server: network.address(SERVERS, number),
             store: network.address(STORE_RELAYS, number),
             real_store: network.address(STORE_HOST, 0),
@@ -176,6 +175,32 @@
     pub(crate) born: u64,
 }
 
+/// Spans of time, in the order of their begin.
+#[derive(Default)]
+pub(super) struct Spans(RefCell<Vec<(Time, Time)>>);
+
+impl Spans {
+    /// Adds a span from now on, and returns its number.
+    pub(super) fn begin(&self, length: Span) -> usize {
+        let now = Clock.now();
+        let mut spans = self.0.borrow_mut();
+        spans.push((now, now + length));
+        spans.len() - 1
+    }
+
+    /// Ends a span now, if it was to last longer.
+    pub(super) fn end(&self, number: usize) {
+        if let Some((_, end)) = self.0.borrow_mut().get_mut(number) {
+            *end = Clock.now().min(*end);
+        }
+    }
+
+    /// Whether one lies between two times, or shortly before them.
+    fn overlap(&self, from: Time, to: Time) -> bool {
+        judge::overlaps(&self.0.borrow(), from, to)
+    }
+}
+
 /// One machine.
 pub(super) struct Machine {
     pub(super) number: usize,
@@ -184,24 +209,19 @@
     pub(super) link_relay: Rc<Relay>,
     pub(super) store_relay: Rc<Relay>,
     pub(super) server: Server,
-    process: Process,
-    /// When the machine was disrupted, until when.
-    disruptions: RefCell<Vec<(Time, Time)>>,
-    /// The same of its connections to the store.
-    store_disruptions: RefCell<Vec<(Time, Time)>>,
-}
-
-/// The process of a node.
-struct Process {
-    command: RefCell<Command>,
-    settings: PathBuf,
-    child: RefCell<Option<Child>>,
-    /// Whether the process was told to end, so that its end is no fault.
-    told_to_end: Cell<bool>,
-    /// When it is killed, if it still runs then.
-    kill_at: Cell<Time>,
-    /// When it may be started.
-    start_at: Cell<Time>,
+    pub(super) process: Process,
+    /// Whether a fault plays with the start of the process.
+    is_changing: Cell<bool>,
+    /// When the machine was disrupted.
+    pub(super) disruptions: Spans,
+    /// When its connections to the store were.
+    pub(super) store_disruptions: Spans,
+    /// When its process was told to end.
+    pub(super) shutdowns: Spans,
+    /// When a fault was played at the machine or its server.
+    pub(super) ailments: Spans,
+    /// Answers to whether the node is ready, each with the time of the question.
+    pub(super) readiness: RefCell<Vec<(Time, bool)>>,
 }
 
 impl Machine {
@@ -220,7 +240,7 @@
             service,
         };
         let settings = options.folder.join(format!("{}.jsonc", identity.name));
-        std::fs::write(&settings, dialect.settings(&addresses, &identity))?;
+        let text = dialect.settings(&addresses, &identity);
         let log = options.folder.join(format!("{}.log", identity.name));
         let log = OpenOptions::new().create(true).append(true).open(log)?;
         let mut command = Command::new(&options.programs[number % options.programs.len()]);
@@ -237,16 +257,13 @@
             link_relay: Relay::new(network.address(LINK_RELAYS, number)),
             store_relay: Relay::new(addresses.store),
             addresses,
-            process: Process {
-                command: RefCell::new(command),
-                settings,
-                child: RefCell::default(),
-                told_to_end: Cell::new(false),
-                kill_at: Cell::new(Time::NEVER),
-                start_at: Cell::new(Time::ZERO),
-            },
-            disruptions: RefCell::default(),
-            store_disruptions: RefCell::default(),
+            process: Process::new(command, settings, text)?,
+            is_changing: Cell::new(false),
+            disruptions: Spans::default(),
+            store_disruptions: Spans::default(),
+            shutdowns: Spans::default(),
+            ailments: Spans::default(),
+            readiness: RefCell::default(),
         })
     }
 
@@ -256,73 +273,54 @@
         self.store_relay.start(self.addresses.real_store).await
     }
 
-    /// Records that the machine is disrupted for some time from now on.
-    pub(super) fn disrupt(&self, span: Span) {
-        let now = Clock.now();
-        self.disruptions.borrow_mut().push((now, now + span));
-    }
-
-    /// Records that the machine cannot use the store for some time from now on.
-    pub(super) fn disrupt_store(&self, span: Span) {
-        let now = Clock.now();
-        self.store_disruptions.borrow_mut().push((now, now + span));
-    }
-
     /// Whether the machine was undisturbed all the time, and some time before.
     pub(super) fn is_calm(&self, from: Time, to: Time) -> bool {
-        let store_disruptions = self.store_disruptions.borrow();
-        self.is_calm_but_for_store(from, to) && !judge::overlaps(&store_disruptions, from, to)
+        self.is_calm_but_for_store(from, to) && !self.store_disruptions.overlap(from, to)
     }
 
     /// The same, whatever became of its connections to the store.
     pub(super) fn is_calm_but_for_store(&self, from: Time, to: Time) -> bool {
-        let disruptions = self.disruptions.borrow();
-        !judge::overlaps(&disruptions, from, to)
+        !self.disruptions.overlap(from, to) && !self.shutdowns.overlap(from, to)
     }
 
-    pub(super) fn signal(&self, signal: Signal) {
-        if let Some(child) = &*self.process.child.borrow() {
-            let _ = kill_process(Pid::from_child(child), signal);
-        }
+    /// The same, though it may have been told to end.
+    pub(super) fn is_calm_but_for_shutdown(&self, from: Time, to: Time) -> bool {
+        !self.disruptions.overlap(from, to) && !self.store_disruptions.overlap(from, to)
+    }
+
+    /// Whether neither the machine nor its server had a fault all the time.
+    pub(super) fn is_well(&self, from: Time, to: Time) -> bool {
+        self.is_calm(from, to) && !self.ailments.overlap(from, to)
     }
 
     /// Kills the process, which starts again after some time.
     pub(super) fn kill(&self, down: Span) {
-        self.process.told_to_end.set(true);
-        self.process.start_at.set(Clock.now() + down);
-        self.disrupt(down);
-        self.signal(Signal::KILL);
+        self.disruptions.begin(down);
+        self.process.kill(Clock.now() + down);
     }
 
     /// Tells the process to end, and starts it again some time after the grace period
     /// at most.
     pub(super) fn terminate(&self, grace: Span, down: Span) {
-        let now = Clock.now();
-        self.process.told_to_end.set(true);
-        self.process.start_at.set(now + down);
-        self.process.kill_at.set(now + grace);
-        self.disrupt(grace);
-        self.signal(Signal::TERM);
-        self.signal(Signal::CONT);
+        self.shutdowns.begin(grace);
+        self.process.terminate(grace, Clock.now() + down);
     }
 
     /// Changes the settings file in a way that changes nothing, and signals it.
     pub(super) fn hang_up(&self) -> Result<()> {
-        let mut text = std::fs::read_to_string(&self.process.settings)?;
-        text.push_str("\n// changed\n");
-        std::fs::write(&self.process.settings, text)?;
-        self.signal(Signal::HUP);
+        self.process.touch()?;
+        self.process.signal(Signal::HUP);
         Ok(())
     }
 
-    /// Ends the process for good.
-    pub(super) fn end(&self) {
-        self.process.told_to_end.set(true);
-        self.process.start_at.set(Time::NEVER);
-        if let Some(mut child) = self.process.child.borrow_mut().take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
+    /// Claims the right to play with the start of the process. Returns whether no other
+    /// fault has it.
+    pub(super) fn begin_change(&self) -> bool {
+        !self.is_changing.replace(true)
+    }
+
+    pub(super) fn end_change(&self) {
+        self.is_changing.set(false);
     }
 
     pub(super) async fn is_ready(&self, path: &str) -> bool {
@@ -338,30 +336,14 @@
     }
 }
 
-impl Process {
-    /// Starts and ends the process as it is due. Returns why it ended, if by itself.
-    fn look_after(&self) -> Result<Option<String>> {
-        let mut child = self.child.borrow_mut();
-        if let Some(running) = child.as_mut() {
-            if Clock.now() >= self.kill_at.get() {
-                let _ = running.kill();
-            }
-            let Some(status) = running.try_wait()? else {
-                return Ok(None);
-            };
-            *child = None;
-            self.kill_at.set(Time::NEVER);
-            if !self.told_to_end.replace(false) {
-                return Ok(Some(status.to_string()));
-            }
-        }
-        if Clock.now() >= self.start_at.get() {
-            self.told_to_end.set(false);
-            self.kill_at.set(Time::NEVER);
-            *child = Some(self.command.borrow_mut().spawn()?);
-            self.start_at.set(Time::ZERO);
-        }
-        Ok(None)
+/// Asks the node of a machine again and again whether it is ready.
+pub(super) async fn watch(world: Rc<World>, number: usize) {
+    let machine = &world.machines[number];
+    loop {
+        let asked = Clock.now();
+        let is_ready = machine.is_ready(world.dialect.ready_path()).await;
+        machine.readiness.borrow_mut().push((asked, is_ready));
+        pause(READY_CHECK_INTERVAL).await;
     }
 }
 
@@ -371,10 +353,11 @@
     loop {
         let name = &machine.identity.name;
         match machine.process.look_after() {
-            Ok(None) => {}
-            Ok(Some(status)) => {
-                let case = format!("{name} ended by itself: {status}");
-                world.record().break_rule(Rule::Ended, case);
+            Ok(ends) => {
+                for status in ends {
+                    let case = format!("{name} ended by itself: {status}");
+                    world.record().break_rule(Rule::Ended, case);
+                }
             }
             Err(error) => {
                 let case = format!("{name} cannot be started: {error}");
--- a/src/soak/plan.rs
+++ b/src/soak/plan.rs
@@ -19,6 +19,7 @@
         SERVICES,
         TEAMS, //
     },
+    life,
     machine::{
         Machine,
         State, //
@@ -102,6 +103,14 @@
     Terminate = "terminate";
     /// A node's settings file changes, with a signal.
     HangUp = "hang-up";
+    /// A node's process gets a signal while it starts, again and again.
+    EarlyHangUp = "early-hang-up";
+    /// An address of a node is in use when its process starts.
+    AddressInUse = "address-in-use";
+    /// A node's settings file is not whole for a while.
+    TornSettings = "torn-settings";
+    /// A node's process is started while the one before it ends.
+    Successor = "successor";
     /// Links to a node are delayed, held back or reset.
     Link = "link";
     /// Links to a node are reset again and again.
@@ -116,6 +125,13 @@
     Configure = "configure";
 }
 
+impl Fault {
+    /// Whether requests may fail and nodes be unready for it.
+    fn ails(self) -> bool {
+        !matches!(self, Self::HangUp | Self::Configure)
+    }
+}
+
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.pad(self.name())
@@ -192,7 +208,17 @@
     }
 }
 
+/// Plays a fault, and records how long the machine has it.
 async fn strike(world: Rc<World>, event: Event) {
+    let ailments = &world.machines[event.machine].ailments;
+    let ailment = event.fault.ails().then(|| ailments.begin(Span::MAX));
+    disturb(&world, event).await;
+    if let Some(ailment) = ailment {
+        ailments.end(ailment);
+    }
+}
+
+async fn disturb(world: &Rc<World>, event: Event) {
     let Event {
         fault,
         machine: number,
@@ -220,8 +246,8 @@
         }
         Fault::Crash | Fault::Reuse | Fault::Leave => {
             if machine.server.begin_change() {
-                let changed = change_server(&world, number, fault, rng).await;
-                report(&world, number, changed);
+                let changed = change_server(world, number, fault, rng).await;
+                report(world, number, changed);
                 machine.server.end_change();
             }
         }
@@ -237,19 +263,25 @@
         }
         Fault::Kill => machine.kill(short),
         Fault::Terminate => machine.terminate(world.dialect.bounds().grace, short),
-        Fault::HangUp => report(&world, number, machine.hang_up()),
+        Fault::HangUp => report(world, number, machine.hang_up()),
+        Fault::EarlyHangUp | Fault::AddressInUse | Fault::TornSettings | Fault::Successor => {
+            if machine.begin_change() {
+                report(world, number, life::play(world, machine, fault, rng).await);
+                machine.end_change();
+            }
+        }
         Fault::Link => {
-            machine.disrupt(long);
+            machine.disruptions.begin(long);
             harm(&machine.link_relay, draw_mode(rng), long).await;
         }
         Fault::Flap => flap(machine, long, rng).await,
         Fault::StoreLink => {
-            machine.disrupt_store(long);
+            machine.store_disruptions.begin(long);
             harm(&machine.store_relay, draw_mode(rng), long).await;
         }
         Fault::StoreAway => {
             let away = Span::from_ms(rng.random_range(AWAY_MS));
-            machine.disrupt_store(away);
+            machine.store_disruptions.begin(away);
             harm(&machine.store_relay, Mode::Reset, away).await;
         }
         Fault::Store => {
@@ -259,7 +291,7 @@
                 2 => Mood::Silent,
                 _ => Mood::Late(short),
             };
-            harm_store(&world, mood, long).await;
+            harm_store(world, mood, long).await;
         }
         Fault::Configure => {
             let now = Clock.now();
@@ -315,27 +347,27 @@
 }
 
 async fn stand_still(machine: &Machine, span: Span) {
-    machine.disrupt(span);
-    machine.signal(Signal::STOP);
+    machine.disruptions.begin(span);
+    machine.process.signal(Signal::STOP);
     pause(span).await;
-    machine.signal(Signal::CONT);
+    machine.process.signal(Signal::CONT);
 }
 
 /// Stops a process and lets it go on, in short turns.
 async fn starve(machine: &Machine, span: Span, rng: &mut ChaCha8Rng) {
-    machine.disrupt(span);
+    machine.disruptions.begin(span);
     let end = Clock.now() + span;
     while Clock.now() < end {
-        machine.signal(Signal::STOP);
+        machine.process.signal(Signal::STOP);
         pause(Span::from_ms(rng.random_range(STARVED_MS))).await;
-        machine.signal(Signal::CONT);
+        machine.process.signal(Signal::CONT);
         pause(Span::from_ms(rng.random_range(RUNNING_MS))).await;
     }
 }
 
 /// Resets the links to a node again and again.
 async fn flap(machine: &Machine, span: Span, rng: &mut ChaCha8Rng) {
-    machine.disrupt(span);
+    machine.disruptions.begin(span);
     let end = Clock.now() + span;
     while Clock.now() < end {
         machine.link_relay.reset();
@@ -351,7 +383,7 @@
 
 async fn harm_store(world: &World, mood: Mood, span: Span) {
     for machine in &world.machines {
-        machine.disrupt_store(span);
+        machine.store_disruptions.begin(span);
     }
     world.store.set(mood);
     pause(span).await;
--- a/src/soak/record.rs
+++ b/src/soak/record.rs
@@ -32,6 +32,10 @@
     Drain,
     Quota,
     Budget,
+    /// A node without a fault is not ready.
+    Ready,
+    /// Requests are not served though there is no fault.
+    Served,
     /// A process ended by itself.
     Ended,
 }
