Soak: odd entries of another writer of the store

`odd-writer` writes an item of a listing with JSON of another kind in one of its fields (nested up to 5000 deep, 1e400, beyond 64 bits, negative, ports 0 and 70000, control characters, a lone surrogate, another type) below any prefix under which the store holds keys, a record of a node that does not exist with such a field, and the same or the incarnation u64::MAX over the record of a living node. Half of the entries beside those of nodes go away again.

Only a machine whose own record was overwritten counts as disturbed, at that moment; all others have to be ready and serve all the while.

--- a/src/soak.rs
+++ b/src/soak.rs
@@ -14,6 +14,7 @@
 mod judge;
 mod life;
 mod machine;
+mod odd;
 mod plan;
 mod process;
 mod record;
@@ -56,7 +57,8 @@
         Identity,
         State, //
     },
-    plan::Fault,
+    odd::Entry,
+    plan::Fault, //
 };
 use self::{
     machine::Machine,
@@ -117,6 +119,17 @@
     fn configure(&self, text: &str);
     /// Replaces a node's link address by that of a relay.
     fn relay(&self, link: SocketAddr, relay: SocketAddr);
+    /// Lets another writer write an entry, and returns its key. The number draws a place
+    /// among the keys of nodes.
+    fn write_odd(
+        &self,
+        identity: &Identity,
+        addresses: &Addresses,
+        entry: &Entry,
+        number: u64,
+    ) -> String;
+    /// Removes an entry.
+    fn remove(&self, key: &str);
     /// Sets how the store misbehaves.
     fn set(&self, mood: Mood);
 }
--- a/src/soak/plan.rs
+++ b/src/soak/plan.rs
@@ -24,7 +24,7 @@
         Machine,
         State, //
     },
-    pause,
+    odd, pause,
     record::Rule,
     relay::{
         Mode,
@@ -121,6 +121,8 @@
     StoreAway = "store-away";
     /// The store refuses, is silent, or writes late.
     Store = "store";
+    /// Another writer of the store writes odd entries.
+    OddWriter = "odd-writer";
     /// The operator moves a route or exchanges a key.
     Configure = "configure";
 }
@@ -128,7 +130,7 @@
 impl Fault {
     /// Whether requests may fail and nodes be unready for it.
     fn ails(self) -> bool {
-        !matches!(self, Self::HangUp | Self::Configure)
+        !matches!(self, Self::HangUp | Self::Configure | Self::OddWriter)
     }
 }
 
@@ -293,6 +295,7 @@
             };
             harm_store(world, mood, long).await;
         }
+        Fault::OddWriter => odd::write(world, machine, rng).await,
         Fault::Configure => {
             let now = Clock.now();
             let team = TEAMS[rng.random_range(0..TEAMS.len())];
