--- a/src/soak/life.rs
+++ b/src/soak/life.rs
@@ -27,8 +27,8 @@
 
 /// Lives of a process in one series, at most.
 const MAX_LIVES: usize = 4;
-/// Time between the start of a process and an early signal, in milliseconds.
-const EARLY_MS: std::ops::Range<u64> = 0..60;
+/// Longest time between the start of a process and an early signal.
+const LATEST_EARLY: Span = Span::from_ms(60);
 /// Time between an early signal and the end of that life, in milliseconds.
 const LIFE_MS: std::ops::Range<u64> = 50..800;
 /// How long a process is down, in milliseconds.
@@ -82,7 +82,9 @@
             return Ok(());
         }
         machine.disruptions.begin(Span::ZERO);
-        pause(Span::from_ms(rng.random_range(EARLY_MS))).await;
+        // Most signals come within the first milliseconds.
+        let part: f64 = rng.random_range(0.0..1.0);
+        pause(LATEST_EARLY.scale(part.powi(3))).await;
         match rng.random_range(0..4) {
             0 => machine.hang_up()?,
             1 => machine.terminate(grace, Span::ZERO),
