Soak: early signals come once a process runs its own program

A signal between `exec` and `main` ends a process whatever its program does, so ENDED would be broken by a sound one. The runtime's own handlers, which `main` comes after, show in /proc when that time is over.

--- a/src/soak/life.rs
+++ b/src/soak/life.rs
@@ -82,6 +82,14 @@
             return Ok(());
         }
         machine.disruptions.begin(Span::ZERO);
+        let begun = async {
+            while !machine.process.has_begun() {
+                tokio::task::yield_now().await;
+            }
+        };
+        if within(START_SLACK, begun).await.is_none() {
+            return Ok(());
+        }
         // Most signals come within the first milliseconds.
         let part: f64 = rng.random_range(0.0..1.0);
         pause(LATEST_EARLY.scale(part.powi(3))).await;
--- a/src/soak/process.rs
+++ b/src/soak/process.rs
@@ -74,6 +74,20 @@
         }
     }
 
+    /// Whether the process runs its program and no longer its loader: the runtime catches
+    /// faults of memory before `main`. Before that no program can hold a signal back.
+    pub(super) fn has_begun(&self) -> bool {
+        let Some(id) = self.child.borrow().as_ref().map(Child::id) else {
+            return false;
+        };
+        let Ok(status) = fs::read_to_string(format!("/proc/{id}/status")) else {
+            return true;
+        };
+        let mut lines = status.lines();
+        let caught = lines.find_map(|line| line.strip_prefix("SigCgt:"));
+        caught.is_none_or(|set| set.trim().chars().any(|digit| digit != '0'))
+    }
+
     /// Kills the process, which starts again at a time.
     pub(super) fn kill(&self, start_at: Time) {
         self.told_to_end.set(true);
