Soak: a drain that outlasts its grace period is no end by itself

ENDED held for any exit code but 0 of a process that was told to end. Other codes still break the rule; what the drain owes to requests is judged by LOST.

--- a/src/soak/process.rs
+++ b/src/soak/process.rs
@@ -205,6 +205,9 @@
     }
 }
 
+/// The exit code of a process whose grace period was over before all requests had ended.
+const UNDRAINED: i32 = 1;
+
 /// Returns how a process ended, which is killed if it runs longer than it may.
 fn ended(child: &mut Child, kill_at: Time) -> Result<Option<ExitStatus>> {
     if Clock.now() >= kill_at {
@@ -213,7 +216,7 @@
     Ok(child.try_wait()?)
 }
 
-/// Whether a process that was told to end did not end as told.
+/// Whether a process that was told to end ended for another reason.
 fn is_failure(status: ExitStatus) -> bool {
-    status.code().is_some_and(|code| code != 0)
+    status.code().is_some_and(|code| code > UNDRAINED)
 }
