--- a/src/soak/plan.rs
+++ b/src/soak/plan.rs
@@ -19,11 +19,12 @@
         SERVICES,
         TEAMS, //
     },
+    life,
     machine::{
         Machine,
         State, //
     },
-    pause,
+    odd, pause,
     record::Rule,
     relay::{
         Mode,
@@ -76,6 +77,8 @@
     Garble = "garble";
     /// A server runs requests and answers with a status that promises the opposite.
     Unproven = "unproven";
+    /// A server breaks off within the heads of answers.
+    HeadCut = "head-cut";
     /// A server loses answers.
     Lose = "lose";
     /// A server accepts requests and does not answer.
@@ -100,6 +103,14 @@
     Terminate = "terminate";
     /// A node's settings file changes, with a signal.
     HangUp = "hang-up";
+    /// A node's process gets a signal while it starts, again and again.
+    EarlyHangUp = "early-hang-up";
+    /// An address of a node is in use when its process starts.
+    AddressInUse = "address-in-use";
+    /// A node's settings file is not whole for a while.
+    TornSettings = "torn-settings";
+    /// A node's process is started while the one before it ends.
+    Successor = "successor";
     /// Links to a node are delayed, held back or reset.
     Link = "link";
     /// Links to a node are reset again and again.
@@ -110,10 +121,19 @@
     StoreAway = "store-away";
     /// The store refuses, is silent, or writes late.
     Store = "store";
+    /// Another writer of the store writes odd entries.
+    OddWriter = "odd-writer";
     /// The operator moves a route or exchanges a key.
     Configure = "configure";
 }
 
+impl Fault {
+    /// Whether requests may fail and nodes be unready for it.
+    fn ails(self) -> bool {
+        !matches!(self, Self::HangUp | Self::Configure | Self::OddWriter)
+    }
+}
+
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.pad(self.name())
@@ -190,7 +210,17 @@
     }
 }
 
+/// Plays a fault, and records how long the machine has it.
 async fn strike(world: Rc<World>, event: Event) {
+    let ailments = &world.machines[event.machine].ailments;
+    let ailment = event.fault.ails().then(|| ailments.begin(Span::MAX));
+    disturb(&world, event).await;
+    if let Some(ailment) = ailment {
+        ailments.end(ailment);
+    }
+}
+
+async fn disturb(world: &Rc<World>, event: Event) {
     let Event {
         fault,
         machine: number,
@@ -208,13 +238,18 @@
             machine.server.faults.borrow_mut().slow = 0;
         }
         Fault::Silent => spoil(machine, short, |faults| faults.silent = true).await,
-        Fault::Shed | Fault::ShedAndCopy | Fault::Garble | Fault::Unproven | Fault::Lose => {
+        Fault::Shed
+        | Fault::ShedAndCopy
+        | Fault::Garble
+        | Fault::Unproven
+        | Fault::HeadCut
+        | Fault::Lose => {
             spoil(machine, long, |faults| draw_spoil(fault, rng, faults)).await;
         }
         Fault::Crash | Fault::Reuse | Fault::Leave => {
             if machine.server.begin_change() {
-                let changed = change_server(&world, number, fault, rng).await;
-                report(&world, number, changed);
+                let changed = change_server(world, number, fault, rng).await;
+                report(world, number, changed);
                 machine.server.end_change();
             }
         }
@@ -230,19 +265,25 @@
         }
         Fault::Kill => machine.kill(short),
         Fault::Terminate => machine.terminate(world.dialect.bounds().grace, short),
-        Fault::HangUp => report(&world, number, machine.hang_up()),
+        Fault::HangUp => report(world, number, machine.hang_up()),
+        Fault::EarlyHangUp | Fault::AddressInUse | Fault::TornSettings | Fault::Successor => {
+            if machine.begin_change() {
+                report(world, number, life::play(world, machine, fault, rng).await);
+                machine.end_change();
+            }
+        }
         Fault::Link => {
-            machine.disrupt(long);
+            machine.disruptions.begin(long);
             harm(&machine.link_relay, draw_mode(rng), long).await;
         }
         Fault::Flap => flap(machine, long, rng).await,
         Fault::StoreLink => {
-            machine.disrupt_store(long);
+            machine.store_disruptions.begin(long);
             harm(&machine.store_relay, draw_mode(rng), long).await;
         }
         Fault::StoreAway => {
             let away = Span::from_ms(rng.random_range(AWAY_MS));
-            machine.disrupt_store(away);
+            machine.store_disruptions.begin(away);
             harm(&machine.store_relay, Mode::Reset, away).await;
         }
         Fault::Store => {
@@ -252,8 +293,9 @@
                 2 => Mood::Silent,
                 _ => Mood::Late(short),
             };
-            harm_store(&world, mood, long).await;
+            harm_store(world, mood, long).await;
         }
+        Fault::OddWriter => odd::write(world, machine, rng).await,
         Fault::Configure => {
             let now = Clock.now();
             let team = TEAMS[rng.random_range(0..TEAMS.len())];
@@ -288,6 +330,10 @@
             faults.garble = rng.random_range(0.02..0.3);
             faults.garbles.push(Garble::Unproven);
         }
+        Fault::HeadCut => {
+            faults.garble = rng.random_range(0.02..0.3);
+            faults.garbles.push(Garble::HeadCut);
+        }
         _ => {
             faults.lose = rng.random_range(0.02..0.3);
             faults.reset = rng.random();
@@ -304,27 +350,27 @@
 }
 
 async fn stand_still(machine: &Machine, span: Span) {
-    machine.disrupt(span);
-    machine.signal(Signal::STOP);
+    machine.disruptions.begin(span);
+    machine.process.signal(Signal::STOP);
     pause(span).await;
-    machine.signal(Signal::CONT);
+    machine.process.signal(Signal::CONT);
 }
 
 /// Stops a process and lets it go on, in short turns.
 async fn starve(machine: &Machine, span: Span, rng: &mut ChaCha8Rng) {
-    machine.disrupt(span);
+    machine.disruptions.begin(span);
     let end = Clock.now() + span;
     while Clock.now() < end {
-        machine.signal(Signal::STOP);
+        machine.process.signal(Signal::STOP);
         pause(Span::from_ms(rng.random_range(STARVED_MS))).await;
-        machine.signal(Signal::CONT);
+        machine.process.signal(Signal::CONT);
         pause(Span::from_ms(rng.random_range(RUNNING_MS))).await;
     }
 }
 
 /// Resets the links to a node again and again.
 async fn flap(machine: &Machine, span: Span, rng: &mut ChaCha8Rng) {
-    machine.disrupt(span);
+    machine.disruptions.begin(span);
     let end = Clock.now() + span;
     while Clock.now() < end {
         machine.link_relay.reset();
@@ -340,7 +386,7 @@
 
 async fn harm_store(world: &World, mood: Mood, span: Span) {
     for machine in &world.machines {
-        machine.disrupt_store(span);
+        machine.store_disruptions.begin(span);
     }
     world.store.set(mood);
     pause(span).await;
