Keep the state of discovery through a panic in its tick

Callers saw: nothing at once; the node stays ready, but follows neither the configuration nor the members any more, renews no record, and takes no key for withdrawn. Cause: discovery_tick takes the state out of the core and puts it back at the end; a contained panic in between drops it, and a core without it counts as one that needs none: is_ready holds and is_stale does not. No test here, as nothing in that tick can be made to panic from outside. Works because the state goes back before the panic goes on.

--- a/src/process/node/listed.rs
+++ b/src/process/node/listed.rs
@@ -5,9 +5,16 @@
 mod tokens;
 mod unlisted;
 
-use std::collections::{
-    BTreeMap,
-    BTreeSet, //
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    panic::{
+        AssertUnwindSafe,
+        catch_unwind,
+        resume_unwind, //
+    },
 };
 
 use self::unlisted::Unlisted;
@@ -214,6 +221,16 @@
     is_stale: bool,
 }
 
+/// What is left to do after a tick of discovery.
+struct Ticked {
+    /// Members whose grace period is over.
+    removed: Vec<Change>,
+    /// Kept members that no longer answer.
+    silent: Vec<Instance>,
+    /// Whether the state derived from the members is to be recomputed.
+    refresh: bool,
+}
+
 impl Discovery {
     /// Records an answer of the store about a topic, for other nodes and for the time
     /// since this node heard of it.
@@ -340,6 +357,32 @@
         let Some(mut discovery) = self.discovery.take() else {
             return;
         };
+        // Without its state the node would follow nothing, and still count as ready.
+        let ticked = catch_unwind(AssertUnwindSafe(|| {
+            self.tick_discovery(now, &mut discovery, out)
+        }));
+        self.discovery = Some(discovery);
+        let Ticked {
+            removed,
+            silent,
+            refresh,
+        } = ticked.unwrap_or_else(|panic| resume_unwind(panic));
+        self.apply_member_changes(now, removed, out);
+        for member in silent {
+            self.remove_member(&member, out);
+        }
+        if refresh {
+            self.refresh(now, out);
+        }
+        self.bank_tick(now, out);
+    }
+
+    fn tick_discovery(
+        &mut self,
+        now: Time,
+        discovery: &mut Discovery,
+        out: &mut Vec<Action>,
+    ) -> Ticked {
         for invalid in discovery.directory.take_invalid() {
             self.counts.add(Counter::RecordInvalid);
             if invalid.is_new {
@@ -374,8 +417,8 @@
                 .pending_calls
                 .insert(number, PendingCall::Introduce);
         }
-        self.query_watcher_or_store(now, &mut discovery, out);
-        self.check_store(now, &mut discovery, out);
+        self.query_watcher_or_store(now, discovery, out);
+        self.check_store(now, discovery, out);
         for (peer, reconnect) in &mut discovery.unreachable {
             if now >= reconnect.next {
                 reconnect.next = now + reconnect.backoff;
@@ -393,15 +436,11 @@
         if refresh {
             discovery.next_refresh = now + REFRESH_INTERVAL;
         }
-        self.discovery = Some(discovery);
-        self.apply_member_changes(now, removed, out);
-        for member in silent {
-            self.remove_member(&member, out);
-        }
-        if refresh {
-            self.refresh(now, out);
+        Ticked {
+            removed,
+            silent,
+            refresh,
         }
-        self.bank_tick(now, out);
     }
 
     /// Recomputes the state derived from the members and the current time.
