Pass a partial listing on as a partial one

Members vanished at nodes that ask a watcher whose own listing lacked rows. The watcher kept the rows without the mark and answered with a whole listing. The log now keeps the mark until a whole listing. The answer is always compressed, as earlier versions refuse a compressed answer that they cannot decode, but close the link over a frame with an unknown variant. Test: feed::a_partial_listing_is_not_passed_on_as_a_whole_one, which failed before.

--- a/src/process/feed.rs
+++ b/src/process/feed.rs
@@ -152,7 +152,9 @@
 impl News {
     fn new(answer: Answer, age: Span) -> Self {
         let is_large = value_bytes(&answer) > COMPRESSION_THRESHOLD;
-        let compressed = is_large.then(|| compress(&answer)).flatten();
+        // Earlier versions close a link over which a variant comes that they do not know.
+        let is_packed = is_large || matches!(answer, Answer::Partial { .. });
+        let compressed = is_packed.then(|| compress(&answer)).flatten();
         Self {
             answer: match compressed {
                 Some(_) => Answer::Lost,
@@ -178,7 +180,7 @@
             None => return Err(invalid_answer("the watcher runs an earlier version")),
         };
         match answer {
-            Answer::Listing { .. } | Answer::Changes { .. } => Ok(answer),
+            Answer::Listing { .. } | Answer::Partial { .. } | Answer::Changes { .. } => Ok(answer),
             _ => Err(invalid_answer("neither a listing nor changes")),
         }
     }
@@ -229,6 +231,8 @@
     heard_at: Time,
     /// Whether changes can be appended. Otherwise the store has to be listed again.
     is_contiguous: bool,
+    /// Whether the last listing lacked entries.
+    is_partial: bool,
     /// The news at this revision, by the revision that they continue from.
     news: BTreeMap<Option<Revision>, News>,
 }
@@ -246,10 +250,19 @@
             confirmed_at: at.confirmed_at,
             heard_at: at.heard_at,
             is_contiguous: true,
+            is_partial: false,
             news: BTreeMap::new(),
         }
     }
 
+    /// Begins with a listing that lacks some entries.
+    fn partial(entries: &[Entry], revision: Revision, at: Confirmation) -> Self {
+        Self {
+            is_partial: true,
+            ..Self::new(entries, revision, at)
+        }
+    }
+
     /// Replaces the entries by those of a listing. What differs is appended as
     /// changes, so that nodes which know the former entries need no listing.
     fn apply_listing(&mut self, entries: &[Entry], at: Revision, confirmation: Confirmation) {
@@ -262,6 +275,7 @@
         });
         let changes: Vec<_> = updated.chain(removed).collect();
         self.is_contiguous = true;
+        self.set_partial(false);
         self.apply_changes(&changes, at, confirmation);
     }
 
@@ -269,9 +283,17 @@
     fn apply_partial(&mut self, entries: &[Entry], at: Revision, confirmation: Confirmation) {
         let changes: Vec<_> = self.updated(entries).collect();
         self.is_contiguous = true;
+        self.set_partial(true);
         self.apply_changes(&changes, at, confirmation);
     }
 
+    fn set_partial(&mut self, is_partial: bool) {
+        if self.is_partial != is_partial {
+            self.is_partial = is_partial;
+            self.news.clear();
+        }
+    }
+
     /// The listed entries that differ from the known ones.
     fn updated<'a>(&'a self, entries: &'a [Entry]) -> impl Iterator<Item = Change> + 'a {
         let is_new = |entry: &&Entry| self.entries.get(&entry.key) != Some(*entry);
@@ -323,9 +345,11 @@
     /// asker with a later revision than this log gets an empty answer.
     fn answer_after(&self, after: Option<Revision>) -> Answer {
         let Some(after) = after.filter(|after| *after >= self.first_revision) else {
-            return Answer::Listing {
-                entries: self.entries.values().cloned().collect(),
-                at: self.revision,
+            let entries = self.entries.values().cloned().collect();
+            let at = self.revision;
+            return match self.is_partial {
+                true => Answer::Partial { entries, at },
+                false => Answer::Listing { entries, at },
             };
         };
         let newer = self.batches.iter().filter(|(at, _)| *at > after);
@@ -463,7 +487,8 @@
                 Some(log) if log.revision > *at => {}
                 Some(log) => log.apply_partial(entries, *at, sent),
                 None => {
-                    self.logs.insert(topic, TopicLog::new(entries, *at, sent));
+                    self.logs
+                        .insert(topic, TopicLog::partial(entries, *at, sent));
                 }
             },
             Answer::Changes { changes, at } => {
--- a/tests/fleet/feed.rs
+++ b/tests/fleet/feed.rs
@@ -506,3 +506,19 @@
     let heard = pair.hear();
     assert_eq!(heard[0].answer, removed("evacuate/north", 7));
 }
+
+/// Guards against members that vanish at the nodes which ask a watcher, because its own
+/// listing lacked rows that could not be read.
+#[test]
+fn a_partial_listing_is_not_passed_on_as_a_whole_one() {
+    let mut pair = Pair::new();
+    let partial = Answer::Partial {
+        entries: vec![entry("a", 5)],
+        at: Revision(5),
+    };
+    pair.store(None, &partial);
+    pair.ask(None);
+    let updates = pair.hear();
+    let is_whole = |update: &Update| matches!(update.answer, Answer::Listing { .. });
+    assert!(!updates.iter().any(is_whole), "{updates:?}");
+}
