Contest a repeated record again after a calm time

A record of a higher incarnation at an address where nobody lives was left in place from the fourth write on, however far apart the writes were: the count of contests was never reset. It is now, after a minute without one. Two living nodes still settle within three contests. Test: odd_records::a_repeated_record_of_nobody_is_replaced, which failed before.

--- a/src/process/directory.rs
+++ b/src/process/directory.rs
@@ -538,7 +538,7 @@
         let own = self.listing.own.take();
         if let Some((revision, record)) = own
             && !self.is_leaving()
-            && self.is_foreign(revision, record.as_ref())
+            && self.is_foreign(now, revision, record.as_ref())
         {
             self.repair.request(now);
         }
@@ -546,7 +546,7 @@
 
     /// Whether an entry under this node's key is to be replaced, because this process did
     /// not write it. If it claims a higher incarnation, that is refuted from now on.
-    fn is_foreign(&mut self, revision: Revision, record: Option<&Record>) -> bool {
+    fn is_foreign(&mut self, now: Time, revision: Revision, record: Option<&Record>) -> bool {
         let registration = &self.registration;
         let is_registered = registration.expected_revision.is_none();
         let is_outdated =
@@ -564,7 +564,7 @@
             return !is_own;
         }
         // This process listens at its address, so no living node has the same.
-        let is_contested = peer.link == self.me.link || self.repair.contest(peer.incarnation);
+        let is_contested = peer.link == self.me.link || self.repair.contest(now, peer.incarnation);
         if is_contested {
             self.refutes = self.refutes.max(Some(peer.incarnation));
         }
--- a/src/process/directory/repair.rs
+++ b/src/process/directory/repair.rs
@@ -11,10 +11,10 @@
 /// First and longest delay between two repairs.
 const MIN_DELAY: Span = Span::from_ms(200);
 const MAX_DELAY: Span = Span::from_secs(20);
-/// After this time without a repair, the next delay is the first one again.
+/// After this time without a repair or contest, the delays and contests begin anew.
 const CALM_TIME: Span = Span::from_secs(60);
-/// How often a node contests one higher incarnation at another address. A living node
-/// contests this in turn, and has to win.
+/// How often a node contests one higher incarnation at another address within
+/// [`CALM_TIME`]. A living node contests this in turn, and has to win.
 const MAX_CONTESTS: u32 = 3;
 
 /// The repairs of a record, with a delay that doubles from one to the next.
@@ -26,6 +26,7 @@
     delay: Span,
     contested: Incarnation,
     contests: u32,
+    contested_at: Time,
 }
 
 impl Repair {
@@ -37,6 +38,7 @@
             delay: MIN_DELAY,
             contested: Incarnation(0),
             contests: 0,
+            contested_at: Time::ZERO,
         }
     }
 
@@ -66,11 +68,12 @@
     }
 
     /// Whether a higher incarnation at another address is to be contested.
-    pub(super) fn contest(&mut self, incarnation: Incarnation) -> bool {
-        if self.contested != incarnation {
+    pub(super) fn contest(&mut self, now: Time, incarnation: Incarnation) -> bool {
+        if self.contested != incarnation || now.since(self.contested_at) >= CALM_TIME {
             self.contested = incarnation;
             self.contests = 0;
         }
+        self.contested_at = now;
         let is_contested = self.contests < MAX_CONTESTS;
         self.contests = self.contests.saturating_add(1);
         is_contested
--- a/tests/fleet/odd_records.rs
+++ b/tests/fleet/odd_records.rs
@@ -351,6 +351,24 @@
     assert!(site.nodes[0].view.contains_key("b"));
 }
 
+/// Guards against a node that is taken for gone because another writer repeats a record
+/// that names an address where no node lives.
+#[test]
+fn a_repeated_record_of_nobody_is_replaced() {
+    let good = peer("b", TODAY, 7002);
+    let mut site = Site::new(&[peer("a", TODAY, 7001), good.clone()]);
+    let odd = with(&good, |peer| {
+        peer.incarnation.0 += 1;
+        peer.link.set_port(9);
+        peer.datagram.set_port(9);
+    });
+    for round in 1..=5 {
+        site.put(key("b"), odd.clone());
+        site.run(Span::from_secs(120));
+        assert_eq!(site.nodes[0].view.get("b"), Some(&good), "write {round}");
+    }
+}
+
 /// A write below the prefix of the members: the key's name and the value.
 fn odd_write() -> impl Strategy<Value = (String, String)> {
     let name = proptest::sample::select(vec!["a", "b", "c", "raw-1", "raw/2", ""]);
