Take no configuration for confirmed that could not be read

A node counted its version as the newest although the row of the configuration was unreadable, or missing from a partial listing: it could go on with a withdrawn key and count as fresh. A node without any version went on to wait for a change, and never read the row again. Such an answer now confirms nothing, and the first version is read until it can be. Tests: three of follow, which failed before.

--- a/src/version/follow.rs
+++ b/src/version/follow.rs
@@ -172,8 +172,10 @@
     }
 
     /// Applies the entries of an answer to a call sent at `sent_at`. Returns the revision
-    /// from which to continue; `None` if there is no value yet.
+    /// from which to continue; `None` if there is no value yet, or if it is not known
+    /// whether there is one.
     fn apply(&mut self, sent_at: Time, answer: Answer) -> Option<(Revision, Update)> {
+        let is_partial = matches!(answer, Answer::Partial { .. });
         let (entry, at) = match answer {
             Answer::Listing { entries, at } => {
                 self.list_evacuations(&entries, at);
@@ -192,10 +194,17 @@
             }
             _ => return None,
         };
-        if self.snapshot.version == Version(0) && entry.is_none() {
+        let is_unreadable = |entry: &Entry| entry.revision == Revision::default();
+        let is_unknown = match &entry {
+            None => is_partial || self.snapshot.version == Version(0),
+            Some(entry) => is_unreadable(entry) && self.snapshot.version == Version(0),
+        };
+        if is_unknown {
             return None;
         }
         let update = match entry {
+            // It may hold a newer version.
+            Some(entry) if is_unreadable(&entry) => self.take_update(false),
             Some(entry) if entry.revision > self.last_read => {
                 self.last_read = entry.revision;
                 self.read_value(sent_at, &entry.value)
--- a/tests/fleet/follow.rs
+++ b/tests/fleet/follow.rs
@@ -155,6 +155,46 @@
     }
 }
 
+fn unreadable_age(answer: Answer) -> u64 {
+    let mut story = Story::new();
+    story.ask(0, listing("4", 10));
+    story.now += Span::from_ms(3000);
+    story.ask(0, answer);
+    story.age().expect("known")
+}
+
+/// Guards against a listing that lacks the configuration and counts as its confirmation.
+#[test]
+fn a_partial_listing_without_the_value_confirms_nothing() {
+    let partial = Answer::Partial {
+        entries: vec![],
+        at: Revision(11),
+    };
+    assert!(unreadable_age(partial) >= 3000);
+}
+
+/// Guards against a row of the configuration that cannot be read and counts as its
+/// confirmation.
+#[test]
+fn an_unreadable_row_confirms_nothing() {
+    assert!(unreadable_age(listing("", 0)) >= 3000);
+    assert!(unreadable_age(change("", 0)) >= 3000);
+}
+
+/// Guards against a node that waits for a change although it has not read any version yet.
+#[test]
+fn an_unreadable_first_row_is_read_again() {
+    let mut story = Story::new();
+    let unreadable = Answer::Listing {
+        entries: vec![entry("", 0)],
+        at: Revision(10),
+    };
+    story.ask(0, unreadable);
+    story.now = story.follower.next_call_at().max(story.now);
+    let call = story.follower.tick(story.now);
+    assert!(matches!(call, Some(Call::Read { .. })), "{call:?}");
+}
+
 /// Names of evacuated domains, as the news has them.
 fn evacuated(news: &Update) -> Vec<String> {
     let Update::Newer(snapshot) = news else {
