--- a/src/process/log.rs
+++ b/src/process/log.rs
@@ -216,8 +216,8 @@
     }
 }
 
-/// Installs the logger, which writes to standard output, and reports panics there. `RUST_LOG` sets the level;
-/// the default is `info`.
+/// Installs the logger, which writes to standard output, and reports panics there.
+/// `RUST_LOG` sets the level; the default is `info`.
 pub fn init() {
     let (sender, lines) = mpsc::sync_channel(QUEUE_CAPACITY);
     let writer = thread::Builder::new().name("log".to_owned());
--- a/src/process/store.rs
+++ b/src/process/store.rs
@@ -169,7 +169,8 @@
     pub key: String,
     /// The value; empty if it is not valid text.
     pub value: String,
-    /// The revision of the write; zero if it cannot be read. Revisions count all writes to the service.
+    /// The revision of the write; zero if it cannot be read. Revisions count all
+    /// writes to the service.
     pub revision: Revision,
 }
 
