Memory: a budget of the process, with an account for each holder

Nothing bounded what the buffers of a process hold together. `limits.memory` (256MiB by default, on the platform its `limits.memory_mb`) is the memory of the process; half of it may be held for callers, the upstream, other nodes and the store. A holder opens an account and reports the capacity that it keeps alive; dropping the account gives it back. Over the budget, the account that holds most is evicted, the newest of several, until what stays fits; an account that is being given up does not count again.

Gauges memory_held{owner} and memory_limit, counter memory_evicted{owner}, a line of the log when the budget runs short and when it has recovered. No holder is connected yet.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -59,6 +59,7 @@
         lease,
         log,
         member,
+        memory,
         metric,
         node,
         quota,
--- a/src/process/carrier.rs
+++ b/src/process/carrier.rs
@@ -64,6 +64,7 @@
     interface::Interface,
     links::Links,
     member,
+    memory::Budget,
     message::Message,
     metric::{
         Counter,
@@ -185,6 +186,8 @@
     leaving: Cell<bool>,
     /// Whether the node ends because it panicked too often.
     failed: Cell<bool>,
+    /// Memory held for callers, the upstream, other nodes and the store.
+    pub(crate) memory: Budget,
     pub(crate) tasks: Tasks,
     /// When the core last ran its timers.
     pub(crate) last_tick: Cell<Time>,
@@ -244,6 +247,7 @@
             stopped: Cell::new(false),
             leaving: Cell::new(false),
             failed: Cell::new(false),
+            memory: Budget::new(settings.limits.memory),
             tasks: Tasks::default(),
             last_tick: Cell::new(Clock.now()),
             recorder: Recorder::default(),
@@ -274,6 +278,7 @@
         core.set_bounds(bounds);
         core.set_scheduling(newer.scheduling);
         drop(core);
+        self.memory.set_limit(newer.limits.memory);
         self.settings.replace(Rc::new(Settings {
             limits: newer.limits,
             grace: newer.grace,
--- a/src/process/export.rs
+++ b/src/process/export.rs
@@ -44,6 +44,7 @@
     },
     code::Code,
     id,
+    memory::Owner,
     metric::{
         Counter,
         Counts, //
@@ -74,6 +75,8 @@
     /// Panics of the process that the instrument already includes.
     exported_panics: Cell<u64>,
     named_limit: Gauge<f64>,
+    memory_held: Gauge<u64>,
+    memory_limit: Gauge<u64>,
     counters: RefCell<HashMap<String, Instrument<u64>>>,
     /// Counter values that the instruments already include.
     exported: RefCell<HashMap<Counter, u64>>,
@@ -102,6 +105,12 @@
         let named_limit = meter
             .f64_gauge(format!("{METRIC_PREFIX}named_limit"))
             .build();
+        let memory_held = meter
+            .u64_gauge(format!("{METRIC_PREFIX}memory_held"))
+            .build();
+        let memory_limit = meter
+            .u64_gauge(format!("{METRIC_PREFIX}memory_limit"))
+            .build();
         let api = Self {
             carrier,
             registry,
@@ -113,9 +122,15 @@
             panics,
             exported_panics: Cell::new(0),
             named_limit,
+            memory_held,
+            memory_limit,
             counters: RefCell::default(),
             exported: RefCell::default(),
         };
+        let evictions = Owner::ALL.map(Counter::MemoryEvicted);
+        evictions
+            .into_iter()
+            .for_each(|counter| api.add(counter, 0));
         let refusals = Code::ALL.iter().map(|code| Counter::Refused(*code));
         refusals.for_each(|counter| api.add(counter, 0));
         api
@@ -136,6 +151,9 @@
         if let Counter::Refused(code) = counter {
             labels.push(KeyValue::new("code", i64::from(code as u16)));
         }
+        if let Counter::MemoryEvicted(owner) = counter {
+            labels = vec![KeyValue::new("owner", owner.name())];
+        }
         let name = format!("{METRIC_PREFIX}{}", to_snake_case(name));
         let mut counters = self.counters.borrow_mut();
         let instrument = counters
@@ -155,6 +173,10 @@
             *totals.entry(counter).or_default() += count;
         }
         totals.insert(Counter::RowUnreadable, self.carrier.unreadable_rows());
+        for owner in Owner::ALL {
+            let evicted = self.carrier.memory.evicted(owner);
+            totals.insert(Counter::MemoryEvicted(owner), evicted);
+        }
         let mut exported = self.exported.borrow_mut();
         for (counter, count) in totals {
             let previous = exported.insert(counter, count).unwrap_or(0);
@@ -164,6 +186,7 @@
         self.named_limit
             .record(named_limit.map_or(f64::INFINITY, Rate::as_f64), &[]);
         self.refresh_tasks();
+        self.refresh_memory();
         let (calls, sent, received) = self.carrier.load();
         let (dialed, accepted) = self.carrier.links.counts();
         for (kind, count) in [
@@ -190,6 +213,15 @@
         self.panics.add(panics.saturating_sub(exported), &[]);
     }
 
+    fn refresh_memory(&self) {
+        let budget = &self.carrier.memory;
+        for owner in Owner::ALL {
+            let label = KeyValue::new("owner", owner.name());
+            self.memory_held.record(budget.held(owner) as u64, &[label]);
+        }
+        self.memory_limit.record(budget.allowed() as u64, &[]);
+    }
+
     fn metrics(&self) -> Response<BoxBody> {
         self.refresh();
         let mut text = Vec::new();
--- a/src/process/metric.rs
+++ b/src/process/metric.rs
@@ -10,6 +10,7 @@
     code::Code,
     feed,
     inbound::Evidence,
+    memory::Owner,
     retry::{
         Reason,
         class::Progress, //
@@ -162,6 +163,9 @@
     AnswerCut,
     /// Requests of callers whose connection ended before there was an answer.
     Unanswered(ConnectionEnd),
+    /// Buffers that were given up because the memory held for other parties exceeded its
+    /// budget, by the party that filled them.
+    MemoryEvicted(Owner),
     /// Panics that ended a unit of work, by its kind.
     Panicked(Unit),
     /// Ends of tasks without which the node does not work; they are started again.
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -16,6 +16,7 @@
 pub(crate) mod links;
 pub mod log;
 pub mod member;
+pub mod memory;
 pub mod metric;
 pub mod node;
 pub(crate) mod probe;
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -38,6 +38,9 @@
 /// its connection.
 const MIN_HEAD_TIME: Span = Span::from_secs(1);
 
+/// The minimum for `memory`: a node without requests occupies about as much.
+const MIN_MEMORY: Size = Size::kib(16 << 10);
+
 /// The minimum length of a secret or token, in bytes.
 const MIN_SECRET_LEN: usize = 16;
 
@@ -92,6 +95,9 @@
     /// Time after which an idle connection to the upstream is closed. It must be
     /// shorter than the upstream's own idle timeout.
     pub upstream_idle: Span,
+    /// Memory that the process may occupy. Half of it may be held for other
+    /// parties: for callers, the upstream, other nodes and the store.
+    pub memory: Size,
 }
 
 impl Default for Limits {
@@ -106,6 +112,7 @@
             body_time: Span::from_secs(10),
             link_idle: Span::from_secs(60),
             upstream_idle: Span::from_secs(4),
+            memory: Size::kib(256 << 10),
         }
     }
 }
@@ -269,6 +276,10 @@
             let reason = format!("`head_time` must be at least {MIN_HEAD_TIME}");
             return Err(("head_time", reason));
         }
+        if self.limits.memory < MIN_MEMORY {
+            let reason = format!("`memory` must be at least {MIN_MEMORY}");
+            return Err(("memory", reason));
+        }
         let token = self.operators_token.as_ref();
         if token.is_some_and(|token| token.len() < MIN_SECRET_LEN) {
             let reason = format!("`operators_token` must have at least {MIN_SECRET_LEN} bytes");
--- /dev/null
+++ b/tests/memory.rs
@@ -0,0 +1,4 @@
+//! What other parties' bytes may occupy in a node's process.
+
+#[path = "memory/budget.rs"]
+mod budget;
--- a/tests/path/settings.rs
+++ b/tests/path/settings.rs
@@ -72,6 +72,7 @@
     no_unit => ("\"limits\": {}", "\"limits\": { \"head_time\": \"5\" }", 4002, 9, "250ms"),
     short_head_time => (
         "\"limits\": {}", "\"limits\": { \"head_time\": \"900ms\" }", 4005, 9, "1s"),
+    little_memory => ("\"limits\": {}", "\"limits\": { \"memory\": \"8MiB\" }", 4005, 9, "16MiB"),
     not_json => ("\"pool\": \"front\",", "\"pool\": front,", 4001, 3, ""),
     single_quotes => ("\"front\"", "'front'", 4001, 3, ""),
     unterminated => ("},\n            \"upstream\"", "\n \"upstream\"", 4001, 5, ""),
--- a/tests/platform/grace.rs
+++ b/tests/platform/grace.rs
@@ -25,6 +25,7 @@
             Seen, //
         },
     },
+    unit::Size,
 };
 use serde_json::json;
 use tokio::sync::Notify;
@@ -48,8 +49,24 @@
 const TEMPLATE: &str = include_str!("../../deploy/node.jsonc");
 
 fn deployed_settings(upstream: SocketAddr, store: SocketAddr, grace_s: u64) -> String {
+    deployed_settings_with(upstream, store, grace_s, Some(260))
+}
+
+/// Renders the template as the platform does: a section stands for a value that is there.
+fn deployed_settings_with(
+    upstream: SocketAddr,
+    store: SocketAddr,
+    grace_s: u64,
+    memory_mb: Option<u64>,
+) -> String {
     let any = "127.0.0.1:0";
     let mut text = TEMPLATE.replace("{{ip}}:7000", any);
+    let (before, rest) = text.split_once("{{#limits.memory_mb}}").expect("a section");
+    let (section, after) = rest.split_once("{{/limits.memory_mb}}").expect("its end");
+    let section = memory_mb.map_or(String::new(), |memory_mb| {
+        section.replace("{{limits.memory_mb}}", &memory_mb.to_string())
+    });
+    text = format!("{before}{section}{after}");
     text = text.replace("{{ip}}:7001", any);
     text = text.replace("{{heartbeat_ms}}", "1500");
     for (name, value) in [
@@ -69,6 +86,20 @@
     text
 }
 
+/// A platform that names no limit of memory would otherwise leave the node without
+/// settings that it can read.
+#[test]
+fn memory_is_taken_from_the_platform_or_the_default() {
+    let address = "127.0.0.1:1".parse().expect("an address");
+    let memory = |memory_mb| {
+        let text = deployed_settings_with(address, address, 6, memory_mb);
+        let settings = Settings::parse(&text).expect("good settings");
+        settings.limits.memory
+    };
+    assert_eq!(memory(Some(300)), Size::kib(300 << 10));
+    assert_eq!(memory(None), Size::kib(256 << 10));
+}
+
 async fn start(text: &str, store: SocketAddr) -> Server {
     let settings = Settings::parse(text).expect("good settings");
     let bounds = bounds::parse(&settings.bounds);
