Answers: framing that outweighs its content ends an answer

Body::next counted framing anew after each byte of content, and handed on chunks as slices of the read buffer: one byte kept 32 KiB. Framing now counts over the life of an answer and may be 64 KiB plus 16 bytes for each byte of content (chunks of one byte without an extension have 5). Chunks below 8 KiB are copied and those that are read already are merged; queues of chunks (Inlet, buffered answers) merge them too. The input that is left after a long head or discarded answers moves to a buffer of the usual size.

--- a/src/connection/body.rs
+++ b/src/connection/body.rs
@@ -28,6 +28,10 @@
 /// The largest chunk of a body in one frame, in bytes.
 pub(crate) const MAX_CHUNK: usize = 64 << 10;
 
+/// Chunks below this size are copied. A larger one may be a part of a read buffer, which
+/// is at most four times as large.
+pub(crate) const MIN_SHARED_CHUNK: usize = 8 << 10;
+
 /// Consumed bytes after which the receiver grants credit again. Smaller grants
 /// aren't worth a frame.
 const GRANT_THRESHOLD: usize = WINDOW / 4;
@@ -44,10 +48,56 @@
     Cut,
 }
 
+/// A queue of chunks. Small ones are merged, so that it occupies a small multiple of its
+/// bytes however they arrive.
+#[derive(Default)]
+pub(crate) struct Chunks {
+    chunks: VecDeque<Bytes>,
+    /// The chunks that were pushed last, if they are small.
+    merged: Vec<u8>,
+    /// Bytes in the queue.
+    len: usize,
+}
+
+impl Chunks {
+    pub(crate) fn push(&mut self, chunk: Bytes) {
+        self.len += chunk.len();
+        if chunk.len() < MIN_SHARED_CHUNK {
+            self.merged.extend_from_slice(&chunk);
+        }
+        if chunk.len().max(self.merged.len()) >= MIN_SHARED_CHUNK {
+            self.close_merged();
+        }
+        if chunk.len() >= MIN_SHARED_CHUNK {
+            self.chunks.push_back(chunk);
+        }
+    }
+
+    fn close_merged(&mut self) {
+        if !self.merged.is_empty() {
+            let merged = std::mem::take(&mut self.merged);
+            self.chunks.push_back(merged.into());
+        }
+    }
+
+    pub(crate) fn pop(&mut self) -> Option<Bytes> {
+        if self.chunks.is_empty() {
+            self.close_merged();
+        }
+        let chunk = self.chunks.pop_front()?;
+        self.len -= chunk.len();
+        Some(chunk)
+    }
+
+    /// Bytes in the queue.
+    pub(crate) fn len(&self) -> usize {
+        self.len
+    }
+}
+
 /// The receiving end of a body: a queue of chunks with a running checksum.
 pub(crate) struct Inlet {
-    chunks: RefCell<VecDeque<Bytes>>,
-    queued: Cell<usize>,
+    chunks: RefCell<Chunks>,
     consumed: Cell<usize>,
     state: Cell<State>,
     hasher: RefCell<Xxh3Default>,
@@ -60,7 +110,6 @@
     pub(crate) fn new(grant: impl Fn(u32) + 'static) -> Rc<Self> {
         Rc::new(Self {
             chunks: RefCell::default(),
-            queued: Cell::new(0),
             consumed: Cell::new(0),
             state: Cell::new(State::Open),
             hasher: RefCell::new(Xxh3Default::new()),
@@ -75,13 +124,11 @@
         if self.state.get() != State::Open {
             return;
         }
-        let queued = self.queued.get() + bytes.len();
-        if queued > WINDOW {
+        if bytes.len() > self.room() {
             return self.cut();
         }
-        self.queued.set(queued);
         self.hasher.borrow_mut().update(&bytes);
-        self.chunks.borrow_mut().push_back(bytes);
+        self.chunks.borrow_mut().push(bytes);
         self.wake();
     }
 
@@ -117,7 +164,7 @@
 
     /// Bytes that can be queued before the window is full.
     pub(crate) fn room(&self) -> usize {
-        WINDOW - self.queued.get()
+        WINDOW - self.chunks.borrow().len()
     }
 
     fn wake(&self) {
@@ -129,8 +176,7 @@
     /// Removes the next chunk, if one is queued, and grants credit when enough
     /// bytes have been consumed.
     pub(crate) fn pop(&self) -> Option<Bytes> {
-        let bytes = self.chunks.borrow_mut().pop_front()?;
-        self.queued.set(self.queued.get() - bytes.len());
+        let bytes = self.chunks.borrow_mut().pop()?;
         let consumed = self.consumed.get() + bytes.len();
         let due = consumed >= GRANT_THRESHOLD && self.state.get() == State::Open;
         self.consumed.set(if due { 0 } else { consumed });
--- a/src/connection/upstream.rs
+++ b/src/connection/upstream.rs
@@ -55,7 +55,8 @@
 use super::{
     body::{
         Cut,
-        Inlet, //
+        Inlet,
+        MIN_SHARED_CHUNK, //
     },
     header::{
         self,
@@ -91,9 +92,11 @@
 
 /// Maximum number of informational responses (1xx) before the final one.
 const MAX_INFORMATIONAL_RESPONSES: usize = 16;
-/// Maximum number of bytes read in a row without a byte of the body among them: chunk
-/// sizes, their extensions and trailers.
-const MAX_FRAMING_BYTES: usize = 64 << 10;
+/// Maximum number of bytes of chunk sizes, their extensions and trailers: so many in any
+/// body, and so many more for each byte of its content. Chunks of one byte without an
+/// extension have five.
+const MAX_FRAMING_BYTES: u64 = 64 << 10;
+const MAX_FRAMING_PER_BYTE: u64 = 16;
 
 /// The status with which an upstream rejects a request meant for another one.
 const MISDIRECTED: StatusCode = StatusCode::MISDIRECTED_REQUEST;
@@ -138,8 +141,12 @@
     connection: Connection,
     framing: Framing,
     input: BytesMut,
-    /// Bytes read since the last byte of the body.
-    framing_bytes: usize,
+    /// Bytes of the content so far.
+    content_bytes: u64,
+    /// Bytes of chunk sizes, their extensions and trailers so far.
+    framing_bytes: u64,
+    /// Whether the end of the body was read.
+    is_ended: bool,
     reuse: bool,
     idle_timeout: Span,
 }
@@ -307,8 +314,10 @@
         answer.body = Some(Body {
             connection,
             framing,
-            input,
+            input: move_to_read_buffer(input),
+            content_bytes: 0,
             framing_bytes: 0,
+            is_ended: false,
             reuse,
             idle_timeout,
         });
@@ -405,31 +414,16 @@
         let Some(body) = &mut answer.body else {
             return Ok(None);
         };
-        match &mut body.framing {
-            Framing::Delimited(codec) => loop {
-                match codec.decode(&mut body.input).map_err(|_| Cut)? {
-                    Some(Some(chunk)) => {
-                        body.framing_bytes = 0;
-                        return Ok(Some(chunk));
-                    }
-                    Some(None) => break,
-                    None => {
-                        if body.framing_bytes > MAX_FRAMING_BYTES {
-                            return Err(Cut);
-                        }
-                        body.framing_bytes +=
-                            read_required(&mut body.connection.stream, &mut body.input).await?;
-                    }
-                }
-            },
-            Framing::UntilClose => {
-                if body.input.is_empty()
-                    && read_some(&mut body.connection.stream, &mut body.input).await? == 0
-                {
-                    answer.body = None;
-                    return Ok(None);
-                }
-                return Ok(Some(body.input.split().freeze()));
+        loop {
+            if let Some(chunk) = body.decode()? {
+                return Ok(Some(chunk));
+            }
+            if body.is_ended {
+                break;
+            }
+            if read_some(&mut body.connection.stream, &mut body.input).await? == 0 {
+                body.close()?;
+                break;
             }
         }
         // Dropping a response before its end closes the connection. Only a
@@ -447,6 +441,72 @@
     }
 }
 
+impl Body {
+    /// Returns the content that has been read, if there is any: one large chunk, or all
+    /// chunks up to the next large one merged into one.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Cut`] when it is malformed, or when its framing outweighs it.
+    fn decode(&mut self) -> Result<Option<Bytes>, Cut> {
+        let Framing::Delimited(codec) = &mut self.framing else {
+            return Ok(take_all(&mut self.input));
+        };
+        let mut merged = Vec::new();
+        while !self.is_ended {
+            let unread = self.input.len();
+            let decoded = codec.decode(&mut self.input).map_err(|_| Cut)?;
+            self.is_ended = matches!(decoded, Some(None));
+            let chunk = decoded.flatten();
+            let length = chunk.as_ref().map_or(0, Bytes::len);
+            self.content_bytes += length as u64;
+            self.framing_bytes += (unread - self.input.len() - length) as u64;
+            let max_framing = MAX_FRAMING_BYTES + self.content_bytes * MAX_FRAMING_PER_BYTE;
+            if self.framing_bytes > max_framing {
+                return Err(Cut);
+            }
+            let Some(chunk) = chunk else { break };
+            if merged.is_empty() && chunk.len() >= MIN_SHARED_CHUNK {
+                return Ok(Some(chunk));
+            }
+            merged.extend_from_slice(&chunk);
+        }
+        Ok((!merged.is_empty()).then(|| Bytes::from(merged)))
+    }
+
+    /// Handles the close of the connection, which is the end of some bodies.
+    fn close(&mut self) -> Result<(), Cut> {
+        match self.framing {
+            Framing::Delimited(_) => Err(Cut),
+            Framing::UntilClose => {
+                self.is_ended = true;
+                Ok(())
+            }
+        }
+    }
+}
+
+/// Returns all input. A small part of the buffer is copied.
+fn take_all(input: &mut BytesMut) -> Option<Bytes> {
+    match input.len() {
+        0 => None,
+        1..MIN_SHARED_CHUNK => {
+            let chunk = Bytes::copy_from_slice(input);
+            input.clear();
+            Some(chunk)
+        }
+        _ => Some(input.split().freeze()),
+    }
+}
+
+/// Returns the input in a buffer of the usual size: that of a long head, or of responses
+/// that were discarded, would be kept by each chunk of the body.
+fn move_to_read_buffer(input: BytesMut) -> BytesMut {
+    let mut moved = BytesMut::with_capacity(input.len().max(READ_BUFFER));
+    moved.extend_from_slice(&input);
+    moved
+}
+
 fn request(head: &Head) -> Option<(RequestHead, BodySize)> {
     let mut request = RequestHead::default();
     request.method = head.method.parse().ok()?;
--- a/src/process/relay.rs
+++ b/src/process/relay.rs
@@ -24,6 +24,7 @@
     code::Code,
     connection::{
         body::{
+            Chunks,
             Cut,
             Inlet,
             MAX_CHUNK,
@@ -346,16 +347,14 @@
 
     /// Buffers an answer up to its end or the buffer limit. If the answer is cut
     /// off before that, no part of it has been relayed.
-    async fn buffer_answer(&self, answer: &mut Answer) -> Result<Vec<Bytes>, Cut> {
+    async fn buffer_answer(&self, answer: &mut Answer) -> Result<Chunks, Cut> {
         let limit = self.interface.max_buffered_answer.as_u64();
-        let mut chunks = Vec::new();
-        let mut size = 0;
-        while size < limit {
+        let mut chunks = Chunks::default();
+        while (chunks.len() as u64) < limit {
             let Some(chunk) = self.upstream.next(answer).await? else {
-                answer.head.length = Some(size);
+                answer.head.length = Some(chunks.len() as u64);
                 break;
             };
-            size += chunk.len() as u64;
             chunks.push(chunk);
         }
         Ok(chunks)
@@ -378,14 +377,13 @@
         &self,
         sender: &BodySender,
         answer: &mut Answer,
-        buffered: Vec<Bytes>,
+        mut buffered: Chunks,
         capture: bool,
     ) -> Result<Option<Bytes>, Cut> {
         let mut sum = Xxh3Default::new();
         let mut captured = capture.then(Vec::new);
-        let mut buffered = buffered.into_iter();
         loop {
-            let next = match buffered.next() {
+            let next = match buffered.pop() {
                 Some(chunk) => Some(chunk),
                 None => self.upstream.next(answer).await?,
             };
--- a/tests/path/endless.rs
+++ b/tests/path/endless.rs
@@ -22,7 +22,7 @@
 async fn start(first: &'static str, then: &str) -> Site {
     let (first, then) = (
         Bytes::from_static(first.as_bytes()),
-        Bytes::from(then.repeat(PIECE / then.len())),
+        Bytes::from(then.repeat((PIECE / then.len()).max(1))),
     );
     Site::start(move |seen| match seen.target.as_str() {
         "/a" => Act::whole("whole"),
@@ -31,6 +31,11 @@
     .await
 }
 
+/// A chunk of one byte with a chunk extension of this length.
+fn extended_chunk(extension: usize) -> &'static str {
+    String::leak(format!("1;{}\r\nx\r\n", "p".repeat(extension)))
+}
+
 /// The slot and the connection are free, and the next request is served.
 async fn is_unharmed(site: &Site) {
     until("its connection is closed", || site.upstream.open() <= 1).await;
@@ -73,6 +78,10 @@
         ("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5;", "x"),
     endless_chunk_extension_after_data =>
         ("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n5;", "x"),
+    endless_extensions_of_small_chunks =>
+        ("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", extended_chunk(32_000)),
+    endless_short_extensions_of_small_chunks =>
+        ("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", extended_chunk(200)),
     endless_trailers =>
         ("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n", "x: y\r\n"),
     endless_body_without_a_length => ("HTTP/1.1 200 OK\r\n\r\n", "x"),
@@ -112,3 +121,19 @@
         is_unharmed(&site).await;
     });
 }
+
+/// Chunks of one byte have more framing than content, and are whole all the same.
+#[test]
+fn honest_chunks_of_one_byte_are_relayed() {
+    const CHUNKS: usize = 200_000;
+    run(async {
+        let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+        let chunks = "1\r\nx\r\n".repeat(CHUNKS);
+        let answer = Bytes::from(format!("{head}{chunks}0\r\n\r\n"));
+        let site = Site::start(move |_| Act::Raw(answer.clone())).await;
+        let caller = site.caller();
+        let answer = caller.get("/chunks", &[AUTH]).await.expect("an answer");
+        assert_eq!((answer.status, answer.body.len()), (200, CHUNKS));
+        assert!(answer.body.iter().all(|byte| *byte == b'x'));
+    });
+}
--- a/tests/platform/endless.rs
+++ b/tests/platform/endless.rs
@@ -91,7 +91,18 @@
 const REJECTION_UNTIL_CLOSE: &str = "HTTP/1.1 503 Service Unavailable\r\n\
     bluebellswitch-request-id: 9c41d07b\r\nbluebellswitch-not-executed: 1\r\n\r\n";
 
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\nbluebellswitch-request-id: 9c41d07b\r\n\
+    bluebellswitch-response-seal: 3e1b.07\r\ntransfer-encoding: chunked\r\n\r\n";
+
+/// A chunk of one byte with a chunk extension of this length.
+fn extended_chunk(extension: usize) -> &'static str {
+    String::leak(format!("1;{}\r\nx\r\n", "p".repeat(extension)))
+}
+
 cases! { endless:
+    endless_extensions_of_small_chunks => (CHUNKED, extended_chunk(32_000), "502", true),
+    endless_short_extensions_of_small_chunks => (CHUNKED, extended_chunk(200), "502", true),
+    endless_extensions_of_a_rejection => (REJECTION, extended_chunk(32_000), "503", true),
     endless_answers_to_other_requests => ("", STRAY, "502", true),
     endless_body_without_a_length => (UNTIL_CLOSE, "more", "200", false),
     endless_rejection => (REJECTION, "4\r\nmore\r\n", "503", false),
