Test the ways in which a taken request can end without an answer

Callers of the platform's listener lose a request if it is read and its connection ends without a complete answer. The rule names planned stops and reloads, but any end of a connection can do it.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -4,6 +4,8 @@
 #[macro_use]
 mod support;
 
+#[path = "platform/closing.rs"]
+mod closing;
 #[path = "platform/config.rs"]
 mod config;
 #[path = "platform/drain.rs"]
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -111,7 +111,8 @@
     ]})
 }
 
-fn settings(
+/// The settings of a node.
+pub fn settings(
     name: &str,
     zone: &str,
     pool: &str,
