Read the input of a connection before it closes as idle

What callers saw: their connection ended without an answer, though the node had not closed it when they sent their request and was still running.

Cause: a connection is closed as idle if nothing was decoded from it when its idle timeout expires or when the stopping node closes its connections. A request that has reached the socket counts as nothing until the runtime has reported it and the task has read it. Where the process stood still, the expired timeout and the request become known at the same time, and one of the two branches is taken at random. When a node stops, the event of the close always overtook the input.

The socket is now asked directly before a connection is closed as idle. If it has input, the connection is read on.

--- a/src/connection/door.rs
+++ b/src/connection/door.rs
@@ -34,6 +34,10 @@
     BytesMut, //
 };
 use futures_util::stream;
+use rustix::net::{
+    RecvFlags,
+    recv, //
+};
 use tokio::{
     io::{
         AsyncReadExt,
@@ -400,7 +404,10 @@
     loop {
         received.decode(shared).await;
         let is_idle = shared.is_idle() && received.is_empty();
-        if is_idle && (closed || !shared.accepting.get()) {
+        if is_idle && !shared.accepting.get() {
+            return ReadEnd::Idle;
+        }
+        if is_idle && closed && !has_unread_input(reader) {
             return ReadEnd::Idle;
         }
         let until = received.deadline(shared);
@@ -416,17 +423,23 @@
             () = &mut closing, if !closed => closed = true,
             () = tokio::time::sleep(wait.unwrap_or_default()), if wait.is_some() => {
                 let expired = until.is_some_and(|until| Clock.now() >= until);
-                if expired && received.is_empty() {
-                    return ReadEnd::Idle;
-                }
-                if expired {
-                    received.time_out(shared);
+                match expired {
+                    true if !received.is_empty() => received.time_out(shared),
+                    true if !has_unread_input(reader) => return ReadEnd::Idle,
+                    _ => {}
                 }
             }
         }
     }
 }
 
+/// Whether input has arrived that was not read yet. The runtime may not have reported it,
+/// for example if the process has just resumed.
+fn has_unread_input(reader: &ReadHalf<'_>) -> bool {
+    let peeked = recv(reader.as_ref(), &mut [0; 1], RecvFlags::PEEK);
+    peeked.is_ok_and(|(_, count)| count > 0)
+}
+
 /// Fails the request that is being read. The connection closes after it.
 fn fail_request(shared: &ConnectionState, incoming: Option<Incoming>, code: Code) {
     shared.accepting.set(false);
--- a/tests/platform/closing.rs
+++ b/tests/platform/closing.rs
@@ -1,6 +1,12 @@
 //! Connections of callers that close, or are about to, while a request is on its way.
 
-use std::rc::Rc;
+use std::{
+    io::Write,
+    net,
+    rc::Rc,
+    thread,
+    time::Duration, //
+};
 
 use bluebellswitch::{
     clock::Span,
@@ -20,6 +26,7 @@
         Seen, //
     },
 };
+use serde_json::json;
 use tokio::{
     io::{
         AsyncReadExt,
@@ -34,6 +41,7 @@
     KEY,
     Machine,
     Site,
+    configuration,
     pause,
     run,
     settings,
@@ -50,6 +58,12 @@
 /// Bytes of a body over the limit.
 const TOO_LARGE: usize = 5_000_000;
 
+/// Time in milliseconds for which the site stands still.
+const FREEZE_MS: u64 = 700;
+
+/// Time in milliseconds in which an idle node is ready to stop.
+const READY_TO_STOP_MS: u64 = 4000;
+
 /// The start of an answer that another one may follow.
 const FOUND: &str = "HTTP/1.1 200 OK\r\n";
 
@@ -66,6 +80,25 @@
     TcpStream::connect(address).await.expect("a connection")
 }
 
+/// Connections whose requests can be written while the runtime does nothing.
+fn connect_blocking(machine: &Machine, count: usize) -> Vec<net::TcpStream> {
+    let address = machine.node.addresses().callers;
+    let connect = |_| net::TcpStream::connect(address).expect("a connection");
+    (0..count).map(connect).collect()
+}
+
+fn send_to_all(streams: &mut [net::TcpStream]) {
+    for stream in streams {
+        let written = stream.write_all(head("GET", "/view/x", "").as_bytes());
+        written.expect("a connection that takes a request");
+    }
+}
+
+fn into_async(stream: net::TcpStream) -> TcpStream {
+    stream.set_nonblocking(true).expect("a socket");
+    TcpStream::from_std(stream).expect("a runtime")
+}
+
 async fn send(stream: &mut TcpStream, text: &str) {
     stream.write_all(text.as_bytes()).await.expect("written");
 }
@@ -114,6 +147,22 @@
     assert!(answer.ends_with('}'), "{answer:?}");
 }
 
+/// Puts limits in force under which connections end sooner.
+async fn set_idle_timeout(site: &Site, timeout_ms: u64) {
+    let mut document = configuration(2);
+    for row in document["resources"].as_array_mut().expect("rows") {
+        if row["type"] == "limits" {
+            row["spec"]["idle_timeout_ms"] = json!(timeout_ms);
+        }
+    }
+    site.store.put("op/config", &document.to_string());
+    let node = &site.machines[0].node;
+    until("the configuration is in force", || async {
+        node.version().0 == 2
+    })
+    .await;
+}
+
 /// A site whose servers hold requests to `/view/held` and `/upload/held` until they are
 /// released.
 struct Held {
@@ -164,6 +213,48 @@
     }
 }
 
+/// Guards against requests that are dropped unread, because the idle timeout of their
+/// connections expired while the process stood still.
+#[test]
+fn requests_that_arrive_while_the_node_stands_still_are_answered() {
+    run(async {
+        let site = Site::start(|seen| whole(seen, "stock")).await;
+        set_idle_timeout(&site, FREEZE_MS / 2).await;
+        let mut callers = connect_blocking(&site.machines[0], CALLERS);
+        pause(50).await;
+        let sending = thread::spawn(move || {
+            thread::sleep(Duration::from_millis(FREEZE_MS / 7));
+            send_to_all(&mut callers);
+            callers
+        });
+        thread::sleep(Duration::from_millis(FREEZE_MS));
+        let callers = sending.join().expect("requests that were sent");
+        for (number, caller) in callers.into_iter().enumerate() {
+            let answer = rest(&mut into_async(caller)).await;
+            assert!(answer.starts_with("HTTP/1.1 "), "{number}: {answer:?}");
+        }
+    });
+}
+
+/// Guards against requests that are dropped unread, because they reach the node just
+/// before it closes its idle connections.
+#[test]
+fn requests_that_arrive_as_a_stopping_node_closes_are_answered() {
+    run(async {
+        let mut site = Site::start(|seen| whole(seen, "stock")).await;
+        let mut callers = connect_blocking(&site.machines[0], CALLERS);
+        pause(50).await;
+        let front = site.machines.remove(0);
+        front.node.drain();
+        pause(READY_TO_STOP_MS).await;
+        send_to_all(&mut callers);
+        assert_eq!(front.node.wait().await, Stop::Clean);
+        for caller in callers {
+            assert_not_run(&rest(&mut into_async(caller)).await, 503);
+        }
+    });
+}
+
 /// Guards against an upload that ends without an answer, because the node stops before
 /// the caller has sent all of it.
 #[test]
