Refuse requests that have arrived in part when the node stops

What callers saw: their connection was cut half a second after a planned stop's end, while the node held the head or the body of their request in part. They could not know whether it had run.

Cause: when the node closes its connections, one with a request in part is not idle and stays open until the process ends. Only complete requests are answered during that time.

Such a request is now refused at once: 503, not run, `connection: close`. Nothing of it was passed on, and one that was completed in the remaining time would be refused, too. Streamed uploads have been passed on and are answered already.

`a_request_in_part_is_refused_when_the_node_stops` failed before in all three cases (no answer until the node had stopped), and all pass now.

--- a/src/connection/door.rs
+++ b/src/connection/door.rs
@@ -384,10 +384,10 @@
         });
     }
 
-    /// Refuses the request whose rest did not arrive in time.
-    fn time_out(&mut self, shared: &ConnectionState) {
+    /// Fails the request that has arrived in part.
+    fn fail(&mut self, shared: &ConnectionState, code: Code) {
         self.head_started = None;
-        fail_request(shared, self.incoming.take(), Code::CallerSlow);
+        fail_request(shared, self.incoming.take(), code);
     }
 }
 
@@ -403,6 +403,11 @@
     let mut received = Received::new();
     loop {
         received.decode(shared).await;
+        // The process may end before the rest arrives.
+        if closed && !received.is_empty() {
+            received.fail(shared, Code::Leaving);
+            continue;
+        }
         let is_idle = shared.is_idle() && received.is_empty();
         if is_idle && !shared.accepting.get() {
             return ReadEnd::Idle;
@@ -424,7 +429,7 @@
             () = tokio::time::sleep(wait.unwrap_or_default()), if wait.is_some() => {
                 let expired = until.is_some_and(|until| Clock.now() >= until);
                 match expired {
-                    true if !received.is_empty() => received.time_out(shared),
+                    true if !received.is_empty() => received.fail(shared, Code::CallerSlow),
                     true if !has_unread_input(reader) => return ReadEnd::Idle,
                     _ => {}
                 }
--- a/tests/platform/closing.rs
+++ b/tests/platform/closing.rs
@@ -255,6 +255,33 @@
     });
 }
 
+/// Guards against callers that are cut off without an answer, because the node stops
+/// before it has received their requests whole.
+fn a_request_in_part_is_refused_when_the_node_stops(part: &'static str) {
+    run(async move {
+        let mut site = Site::start(|seen| whole(seen, "stock")).await;
+        let mut caller = connect(&site.machines[0]).await;
+        let front = site.machines.remove(0);
+        front.node.drain();
+        pause(READY_TO_STOP_MS).await;
+        let part = part.replace("KEY", &format!("{}: {}", KEY.0, KEY.1));
+        send(&mut caller, &part).await;
+        pause(50).await;
+        let (answer, stop) = rest_until_stop(&mut caller, front.node).await;
+        assert_not_run(&answer, 503);
+        assert_eq!(stop, Stop::Clean);
+    });
+}
+
+cases! { a_request_in_part_is_refused_when_the_node_stops:
+    a_head => ("GET /view/x HTTP/1.1\r\nhost: mill.example\r\n"),
+    a_body_with_a_length => (
+        "POST /issue/x HTTP/1.1\r\nhost: mill.example\r\nKEY\r\ncontent-length: 10\r\n\r\nhalf"),
+    a_body_in_chunks => (
+        "POST /issue/x HTTP/1.1\r\nhost: mill.example\r\nKEY\r\n\
+         transfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n"),
+}
+
 /// Guards against an upload that ends without an answer, because the node stops before
 /// the caller has sent all of it.
 #[test]
