Count what a draining node takes on and what it cuts

When a planned stop cut requests, nothing told whether they had arrived before or after SIGTERM, nor how far they had got.

The core now computes once, when draining begins, from when on no caller is answered (`Core::ends_at`); the server waits until then, and the router sees it in its environment. Nothing is decided by it yet. `drain_taken` counts the calls that were taken on while draining, by origin; `drain_cut` those without a complete answer at the end, by how far they had got; one line `the time for draining is over` has the same numbers.

The limit moves from the server to the carrier, which begins the drain. The driver drains without a limit, as before.

--- a/src/process/carrier.rs
+++ b/src/process/carrier.rs
@@ -131,6 +131,11 @@
 
 /// Minimum time between two summaries in the log.
 const SUMMARY_INTERVAL: Span = Span::from_secs(2);
+/// Drain time if the configuration does not contain the pool.
+const DEFAULT_DRAIN_TIME: Span = Span::from_secs(30);
+/// Time allowed for the last bytes of answers and frames to be sent when the node
+/// stops, and for a client to disconnect.
+pub(crate) const FLUSH_TIMEOUT: Span = Span::from_ms(500);
 
 /// Secret that all nodes share if the settings trust the network.
 const TRUSTED_NETWORK_SECRET: &str = "the network is trusted";
@@ -390,11 +395,25 @@
         over_it.map(|(request, _)| *request).collect()
     }
 
+    /// The maximum time that a stopping node waits for the requests in progress.
+    pub(crate) fn drain_limit(&self) -> Span {
+        let settings = self.settings();
+        let core = self.core();
+        let drain_time = || {
+            let pool = core.snapshot().tables.pool(&settings.pool);
+            pool.map_or(DEFAULT_DRAIN_TIME, |pool| pool.drain)
+        };
+        match settings.grace.or_else(|| core.grace()) {
+            Some(grace) => grace - FLUSH_TIMEOUT,
+            None => drain_time(),
+        }
+    }
+
     pub(crate) fn drain(&self) {
         if !self.draining.replace(true) {
             self.changed.notify_waiters();
             self.work_arrived.notify_one();
-            self.on(Event::Drain);
+            self.on(Event::Drain(self.drain_limit()));
         }
     }
 
@@ -816,6 +835,10 @@
         LogEvent::UpstreamLeaving { by_hint } => {
             log::info!(by_hint = *by_hint; "the upstream says in its answers that it leaves")
         }
+        LogEvent::DrainEnded(open) => log::warn!(
+            waiting = open.waiting, sent = open.sent, answering = open.answering;
+            "the time for draining is over"
+        ),
         LogEvent::UpstreamCrashed(held) => log::warn!(
             running = held.len(), requests = list_requests(held);
             "the upstream ended while it ran requests"
--- a/src/process/metric.rs
+++ b/src/process/metric.rs
@@ -31,6 +31,17 @@
     Probe,
 }
 
+/// How far a call had got when its node stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Stage {
+    /// No attempt was under way.
+    Waiting,
+    /// An attempt was under way.
+    Sent,
+    /// An answer was being relayed.
+    Answering,
+}
+
 /// Why the connection of a caller ended before a request was answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum ConnectionEnd {
@@ -162,6 +173,11 @@
     AnswerCut,
     /// Requests of callers whose connection ended before there was an answer.
     Unanswered(ConnectionEnd),
+    /// Calls that a draining node took on, by origin.
+    DrainTaken(Kind),
+    /// Calls without a complete answer when the time for draining was over, by how far
+    /// they had got.
+    DrainCut(Stage),
     /// Panics that ended a unit of work, by its kind.
     Panicked(Unit),
     /// Ends of tasks without which the node does not work; they are started again.
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -41,7 +41,10 @@
     },
     id,
     inbound,
-    ingress,
+    ingress::{
+        self,
+        OpenCalls, //
+    },
     member,
     message::{
         DATAGRAM_LIMIT,
@@ -139,6 +142,8 @@
         /// The age of the store answer that contained the order.
         age: Option<Span>,
     },
+    /// The time for finishing requests is over, and these calls have no complete answer.
+    DrainEnded(OpenCalls),
     /// Store contents are now read through this watcher, or from the store
     /// directly if `None`.
     StoreSource(Option<id::Instance>),
@@ -263,8 +268,8 @@
     /// An operator requested the configuration version of each domain; the
     /// replies are collected in [`Core::reports`].
     Survey,
-    /// Finish running requests and accept no new ones.
-    Drain,
+    /// Finish the running requests within this time, and stop.
+    Drain(Span),
     /// The time for finishing running requests is over: answer all callers.
     DrainEnded,
     /// Time advanced; run timers that are due.
@@ -349,7 +354,7 @@
             Self::Datagram(..) => "Datagram",
             Self::StoreAnswer(..) => "StoreAnswer",
             Self::Survey => "Survey",
-            Self::Drain => "Drain",
+            Self::Drain(_) => "Drain",
             Self::DrainEnded => "DrainEnded",
             Self::Tick => "Tick",
         }
@@ -396,6 +401,8 @@
     pending_store_calls: BTreeMap<u64, StoreCaller>,
     last_store_call: u64,
     draining: Option<Time>,
+    /// From when on no caller is answered any more.
+    ends_at: Time,
     /// Whether the process is about to exit.
     stopping: bool,
 }
@@ -432,6 +439,7 @@
             pending_store_calls: BTreeMap::new(),
             last_store_call: 0,
             draining: None,
+            ends_at: Time::NEVER,
             stopping: false,
             identity,
         }
@@ -500,6 +508,12 @@
         self.router.record_delivered(call);
     }
 
+    /// Returns from when on no caller is answered any more, as the node stops;
+    /// [`Time::NEVER`] while it does not drain.
+    pub fn ends_at(&self) -> Time {
+        self.ends_at
+    }
+
     /// Returns the attempts at an instance that have not ended.
     pub fn attempts_at(&self, peer: &id::Instance) -> Vec<id::Request> {
         self.router.attempts_at(peer)
@@ -570,8 +584,11 @@
             Event::Datagram(from, message) => self.on_message(now, Some(from), message, out),
             Event::StoreAnswer(number, answer) => self.on_store_answer(now, number, answer, out),
             Event::Survey => self.survey(now, out),
-            Event::Drain => {
-                self.draining.get_or_insert(now);
+            Event::Drain(limit) => {
+                if self.draining.is_none() {
+                    self.draining = Some(now);
+                    self.ends_at = now + limit;
+                }
                 self.run_proxy(now, inbound::Event::Drain, out);
                 if self.discovery.is_some() {
                     return self.discovery_drain(now);
@@ -581,6 +598,10 @@
             }
             Event::DrainEnded => {
                 self.stopping = true;
+                let open = self.router.open_calls();
+                if open != OpenCalls::default() {
+                    out.push(Action::Log(LogEvent::DrainEnded(open)));
+                }
                 self.run_router(now, ingress::Event::Stop, out);
             }
             Event::Tick => self.on_tick(now, out),
@@ -856,6 +877,7 @@
             policy: self.policy,
             rng: &mut self.rng,
             counts: &mut self.counts,
+            ends_at: self.ends_at,
         };
         let mut actions = Vec::new();
         self.router.on(now, event, &mut world, &mut actions);
--- a/src/process/server.rs
+++ b/src/process/server.rs
@@ -33,7 +33,10 @@
 
 use crate::{
     beside,
-    carrier::Carrier,
+    carrier::{
+        Carrier,
+        FLUSH_TIMEOUT, //
+    },
     clock::{
         Clock,
         Span,
@@ -96,13 +99,6 @@
 /// connections.
 const MAINTENANCE_INTERVAL: Span = Span::from_secs(1);
 
-/// Drain time if the configuration does not contain the pool.
-const DEFAULT_DRAIN_TIME: Span = Span::from_secs(30);
-
-/// Time allowed for the last bytes of answers and frames to be sent when the node
-/// stops, and for a client to disconnect.
-const FLUSH_TIMEOUT: Span = Span::from_ms(500);
-
 /// Maximum number of times that a call moves on to another instance because one
 /// refused it before its upstream saw it. A higher limit makes callers wait
 /// longer for a refusal that nearly all instances would give.
@@ -470,8 +466,8 @@
     /// calls, flushes the responses and closes all sockets.
     pub async fn wait(self) -> Stop {
         self.carrier.drained().await;
-        let limit = self.drain_limit();
-        let stopped = tokio::time::timeout(limit.to_std(), self.carrier.stopped()).await;
+        let left = Clock.now().until(self.carrier.core().ends_at());
+        let stopped = tokio::time::timeout(left.to_std(), self.carrier.stopped()).await;
         self.carrier.on(Event::DrainEnded);
         self.carrier.refuse_remaining();
         self.close().await;
@@ -486,17 +482,7 @@
     /// progress: the grace period in the settings or else in the bounds, less the
     /// time for flushing the last bytes, or without either the pool's drain time.
     pub fn drain_limit(&self) -> Span {
-        let grace = self.carrier.settings().grace;
-        match grace.or_else(|| self.carrier.core().grace()) {
-            Some(grace) => grace - FLUSH_TIMEOUT,
-            None => self.drain_time(),
-        }
-    }
-
-    fn drain_time(&self) -> Span {
-        let core = self.carrier.core();
-        let pool = core.snapshot().tables.pool(&self.carrier.settings().pool);
-        pool.map_or(DEFAULT_DRAIN_TIME, |pool| pool.drain)
+        self.carrier.drain_limit()
     }
 
     /// Closes idle connections and flushes the last bytes.
--- a/src/request/ingress.rs
+++ b/src/request/ingress.rs
@@ -45,7 +45,10 @@
         Peer,
         Table, //
     },
-    metric::Counts,
+    metric::{
+        Counts,
+        Stage, //
+    },
     outcome::{
         Refusal,
         Report, //
@@ -204,6 +207,20 @@
     pub rng: &'a mut ChaCha8Rng,
     /// Metric counters.
     pub counts: &'a mut Counts,
+    /// From when on this node answers no caller any more, as it stops; [`Time::NEVER`]
+    /// while it does not drain.
+    pub ends_at: Time,
+}
+
+/// The calls of a node that have no complete answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct OpenCalls {
+    /// Calls without an attempt under way.
+    pub waiting: usize,
+    /// Calls with an attempt under way.
+    pub sent: usize,
+    /// Calls whose answer is being relayed.
+    pub answering: usize,
 }
 
 /// State machine that handles all calls of this node until they are answered.
@@ -271,6 +288,19 @@
             .collect()
     }
 
+    /// Returns the number of calls without a complete response, by how far they got.
+    pub fn open_calls(&self) -> OpenCalls {
+        let mut open = OpenCalls::default();
+        for call in self.calls.values() {
+            match call.stage() {
+                Stage::Waiting => open.waiting += 1,
+                Stage::Sent => open.sent += 1,
+                Stage::Answering => open.answering += 1,
+            }
+        }
+        open
+    }
+
     /// Returns the number of calls without a complete response.
     pub fn len(&self) -> usize {
         self.calls.len()
--- a/src/request/ingress/arrival.rs
+++ b/src/request/ingress/arrival.rs
@@ -27,7 +27,10 @@
     },
     id,
     inbound::OutgoingCall,
-    metric::Counter,
+    metric::{
+        Counter,
+        Kind, //
+    },
     outcome::{
         Exposure,
         Refusal, //
@@ -113,6 +116,9 @@
                 .or_default()
                 .insert(arrival.call);
         }
+        if env.ends_at != Time::NEVER {
+            env.counts.add(Counter::DrainTaken(kind(&context)));
+        }
         let max_token_wait = token_wait_limit(route, env.policy);
         let root_arrived = Time::from_ms(now.as_ms().saturating_sub(context.age.as_ms()));
         let deadline = now + context.left;
@@ -406,6 +412,13 @@
     Some((maker.attempt, maker.evidence.is_certain(), maker.context))
 }
 
+fn kind(context: &Context) -> Kind {
+    match context.depth {
+        0 => Kind::Root,
+        _ => Kind::Nested,
+    }
+}
+
 fn nested_context(
     parent: Option<&Context>,
     route: &Route,
--- a/src/request/ingress/call.rs
+++ b/src/request/ingress/call.rs
@@ -21,6 +21,7 @@
         Importance, //
     },
     id,
+    metric::Stage,
     outcome::Exposure,
     quota::{
         Charge,
@@ -157,6 +158,15 @@
         self.idempotent && self.replayable && self.claim.is_none()
     }
 
+    /// How far it has got.
+    pub fn stage(&self) -> Stage {
+        match self.state {
+            State::AwaitingToken(_) | State::Backoff(_) => Stage::Waiting,
+            State::Sent(_) | State::Revoking { .. } => Stage::Sent,
+            State::Delivering(_) => Stage::Answering,
+        }
+    }
+
     /// Whether an earlier attempt has reached an upstream.
     pub fn has_reached_upstream(&self) -> bool {
         self.exposure.may_have_run() || !self.rejected_by.is_empty()
--- a/src/request/ingress/end.rs
+++ b/src/request/ingress/end.rs
@@ -132,6 +132,9 @@
     /// Refuses all calls without a response, before the process exits. The response of
     /// a call that is being relayed goes on.
     pub(super) fn stop(&mut self, now: Time, env: &mut Environment<'_>, out: &mut Vec<Action>) {
+        for call in self.calls.values() {
+            env.counts.add(Counter::DrainCut(call.stage()));
+        }
         let is_delivering = |call: &Call| matches!(call.state, State::Delivering(_));
         let open = self.calls.iter().filter(|(_, call)| !is_delivering(call));
         let open: Vec<_> = open.map(|(call_id, _)| *call_id).collect();
--- a/src/standin/driver.rs
+++ b/src/standin/driver.rs
@@ -499,7 +499,8 @@
             Some(Promise::Stop) => self.act(number, Action::Stop),
             _ => {
                 let life = self.nodes[number].life;
-                self.push(self.now, What::Node(number, life, Box::new(Event::Drain)));
+                let drain = Event::Drain(Span::MAX);
+                self.push(self.now, What::Node(number, life, Box::new(drain)));
             }
         }
     }
--- a/tests/policy/chain.rs
+++ b/tests/policy/chain.rs
@@ -464,6 +464,7 @@
             policy: self.policy,
             rng: &mut self.rng,
             counts: &mut self.counts,
+            ends_at: Time::NEVER,
         };
         let mut out = Vec::new();
         self.router.on(self.now, event, &mut world, &mut out);
--- a/tests/policy/orders.rs
+++ b/tests/policy/orders.rs
@@ -243,6 +243,7 @@
             policy: Policy::default(),
             rng: &mut ChaCha8Rng::seed_from_u64(1),
             counts: &mut Counts::default(),
+            ends_at: Time::NEVER,
         };
         let mut out = Vec::new();
         self.router.on(self.now, event, &mut world, &mut out);
--- a/tests/policy/outcome.rs
+++ b/tests/policy/outcome.rs
@@ -324,6 +324,7 @@
             },
             rng: &mut self.rng,
             counts: &mut Counts::default(),
+            ends_at: Time::NEVER,
         };
         let mut out = Vec::new();
         self.router.on(self.now, event, &mut world, &mut out);
--- a/tests/policy/rejection.rs
+++ b/tests/policy/rejection.rs
@@ -106,6 +106,7 @@
             policy: self.policy,
             rng: &mut ChaCha8Rng::seed_from_u64(1),
             counts: &mut Counts::default(),
+            ends_at: Time::NEVER,
         };
         let mut out = Vec::new();
         self.router.on(self.now, event, &mut world, &mut out);
--- a/tests/policy/stall.rs
+++ b/tests/policy/stall.rs
@@ -183,6 +183,7 @@
             policy: self.policy,
             rng: &mut self.rng,
             counts: &mut self.counts,
+            ends_at: Time::NEVER,
         };
         let mut out = Vec::new();
         self.router.on(self.now, event, &mut env, &mut out);
