Take on while draining only what can end in time

Callers of a stopping node were answered 502 (3009) at the end, while a sound server of another node ran their requests, which may not be repeated. Others that had only waited for a slot were answered 502 as well, where "not run" was true.

The cause: nothing asked whether the remaining time was enough. A request with more time than the node had left was taken and passed on; on routes without a key requests were taken until the sockets closed, as they passed for nested calls; a body that ended late, the end of a wait or a backoff, a retry and a reroute were not asked either; and at the end nobody asked whether an attempt had begun.

Now the end of the node, known since draining began, is asked wherever a call is taken or sent (`Router::shortage`): it must cover the time left of the call or the estimate of its route, whichever is less. The estimate is mean plus four mean deviations of the latencies seen. What does not fit is refused with 2008 if no attempt may have run. Late calls on routes without a key are taken only if they are attributed to an attempt that runs beside the node. An attempt that is sent while draining carries no more time than the node has left. 350 ms before the end the inbound proxies are asked not to start what still waits there; `Revoke` gets `unless_running`, as it aborted a running attempt, which is right only after a lost link.

`drain_refused` counts the refusals by reason; the line `refused` has the time left and the time needed.

The tests of tests/platform/stop.rs on the code before: - a_late_request_is_refused_also_without_a_key: /check/late, left: (200, None), right: (503, Some(2008)) - a_request_that_may_outlast_the_node_is_refused_at_once: left: (502, Some(3009)), right: (503, Some(2008)) - a_request_whose_body_ends_too_late_is_refused: left: "HTTP/1.1 502", right: "HTTP/1.1 503" - at_the_end_requests_that_never_ran_are_refused_as_not_run was not run on the code before in its present form. tests/policy/stop.rs needs the new interface.

--- a/src/connection/frame.rs
+++ b/src/connection/frame.rs
@@ -154,6 +154,9 @@
         life: Incarnation,
         /// How much longer a late copy must be refused.
         left: Span,
+        /// Whether the attempt goes on if it has started. Otherwise it is aborted.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        unless_running: bool,
     },
     /// The answer to [`Frame::Revoke`].
     Fate {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -75,6 +75,7 @@
         balance,
         comeback,
         context,
+        estimate,
         inbound,
         ingress,
         limit,
--- a/src/process/carrier.rs
+++ b/src/process/carrier.rs
@@ -836,7 +836,7 @@
             log::info!(by_hint = *by_hint; "the upstream says in its answers that it leaves")
         }
         LogEvent::DrainEnded(open) => log::warn!(
-            waiting = open.waiting, sent = open.sent, answering = open.answering;
+            waiting = open.waiting, sent = open.sent, begun = open.begun, answering = open.answering;
             "the time for draining is over"
         ),
         LogEvent::UpstreamCrashed(held) => log::warn!(
--- a/src/process/event.rs
+++ b/src/process/event.rs
@@ -285,7 +285,9 @@
                     evidence = refusal.evidence().map_or("none", Evidence::name), path = path,
                     come_back_ms = refusal.wait().map_or(-1, |wait| wait.as_ms() as i64),
                     waited_ms = waited.as_ms(), attempts = attempts, version = config.version.0,
-                    version_age_ms = age_ms(*config);
+                    version_age_ms = age_ms(*config),
+                    drain_left_ms = refusal.drain().map_or(-1, |it| it.left.as_ms() as i64),
+                    needed_ms = refusal.drain().map_or(-1, |it| it.needed.as_ms() as i64);
                     "refused"
                 );
             }
--- a/src/process/metric.rs
+++ b/src/process/metric.rs
@@ -38,10 +38,21 @@
     Waiting,
     /// An attempt was under way.
     Sent,
+    /// An attempt was under way and had started at its upstream.
+    Begun,
     /// An answer was being relayed.
     Answering,
 }
 
+/// Why a draining node does not take on a call or send it again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum DrainRefusal {
+    /// The node is about to stop, and no request that it finishes needs the call.
+    Closed,
+    /// The call may take longer than the node has left.
+    TooLate,
+}
+
 /// Why the connection of a caller ended before a request was answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum ConnectionEnd {
@@ -175,6 +186,8 @@
     Unanswered(ConnectionEnd),
     /// Calls that a draining node took on, by origin.
     DrainTaken(Kind),
+    /// Calls that a draining node refused, or did not send again, by reason.
+    DrainRefused(DrainRefusal),
     /// Calls without a complete answer when the time for draining was over, by how far
     /// they had got.
     DrainCut(Stage),
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -763,6 +763,7 @@
                 request,
                 life,
                 left,
+                unless_running,
             } => {
                 if let Some(fate) = self.joined_attempt_fate(request) {
                     out.push(Action::Frame(peer, Frame::Fate { request, fate }));
@@ -773,6 +774,7 @@
                     peer,
                     life,
                     left,
+                    unless_running,
                 };
                 self.run_proxy(now, event, out);
             }
@@ -943,12 +945,14 @@
                 request,
                 life,
                 left,
+                unless_running,
             } => Self::Frame(
                 peer,
                 Frame::Revoke {
                     request,
                     life,
                     left,
+                    unless_running,
                 },
             ),
         }
--- a/src/request/inbound.rs
+++ b/src/request/inbound.rs
@@ -145,6 +145,8 @@
         life: id::Incarnation,
         /// For how long a late duplicate must still be refused.
         left: Span,
+        /// Whether the attempt goes on if it has started. Otherwise it is aborted.
+        unless_running: bool,
     },
     /// The link to an instance broke.
     Broken(id::Instance),
@@ -319,6 +321,11 @@
         self.len() == 0
     }
 
+    /// Whether any attempt runs.
+    pub fn is_running(&self) -> bool {
+        !self.running.is_empty()
+    }
+
     /// Whether this attempt runs or waits here.
     pub fn holds(&self, request: id::Request) -> bool {
         self.runs(request) || self.waiting.contains_key(&request)
@@ -445,7 +452,11 @@
                 peer,
                 life,
                 left,
+                unless_running,
             } => {
+                if unless_running && self.running.contains_key(&request) {
+                    return out.push(Action::Fate(peer, request, Fate::Running));
+                }
                 let fate = self.on_revoke(now, &peer, request, life, left, out);
                 out.push(Action::Fate(peer, request, fate));
             }
--- a/src/request/ingress.rs
+++ b/src/request/ingress.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod call;
 mod end;
+mod leaving;
 mod silence;
 mod unanswered;
 
@@ -21,6 +22,7 @@
 use self::call::{
     Attempt,
     Call,
+    State,
     TokenQueue, //
 };
 use self::unanswered::Unanswered;
@@ -38,6 +40,7 @@
     code::Code,
     context::Context,
     document::Snapshot,
+    estimate::Estimate,
     frame::Fate,
     id,
     inbound::Proxy,
@@ -184,6 +187,8 @@
         life: id::Incarnation,
         /// How long a delayed copy of the attempt must be refused.
         left: Span,
+        /// Whether the attempt goes on if it has started. Otherwise it is aborted.
+        unless_running: bool,
     },
 }
 
@@ -219,6 +224,8 @@
     pub waiting: usize,
     /// Calls with an attempt under way.
     pub sent: usize,
+    /// Calls with an attempt under way that had started at its upstream.
+    pub begun: usize,
     /// Calls whose answer is being relayed.
     pub answering: usize,
 }
@@ -241,6 +248,8 @@
     hints: Hints,
     retry_budget: Budget,
     typical_latency: BTreeMap<id::Route, f64>,
+    /// High estimates of the latency of an attempt.
+    estimates: BTreeMap<id::Route, Estimate>,
     last_silence_check: Time,
 }
 
@@ -261,6 +270,7 @@
             hints: Hints::default(),
             retry_budget: Budget::default(),
             typical_latency: BTreeMap::new(),
+            estimates: BTreeMap::new(),
             last_silence_check: Time::ZERO,
         }
     }
@@ -292,15 +302,31 @@
     pub fn open_calls(&self) -> OpenCalls {
         let mut open = OpenCalls::default();
         for call in self.calls.values() {
-            match call.stage() {
+            match self.stage(call) {
                 Stage::Waiting => open.waiting += 1,
                 Stage::Sent => open.sent += 1,
+                Stage::Begun => open.begun += 1,
                 Stage::Answering => open.answering += 1,
             }
         }
         open
     }
 
+    /// How far a call has got.
+    fn stage(&self, call: &Call) -> Stage {
+        match call.state {
+            State::AwaitingToken(_) | State::Backoff(_) => Stage::Waiting,
+            State::Sent(request) | State::Revoking { request, .. } => {
+                let attempt = self.attempts.get(&request);
+                match attempt.is_some_and(|attempt| attempt.has_started) {
+                    true => Stage::Begun,
+                    false => Stage::Sent,
+                }
+            }
+            State::Delivering(_) => Stage::Answering,
+        }
+    }
+
     /// Returns the number of calls without a complete response.
     pub fn len(&self) -> usize {
         self.calls.len()
@@ -377,6 +403,7 @@
             self.last_silence_check = now;
             self.check_silent_peers(now, env, out);
         }
+        self.revoke_waiting(now, env, out);
         while let Some(call_id) = self.unanswered.take_expired(now) {
             self.deadline_passed(now, call_id, env, out);
         }
--- a/src/request/ingress/arrival.rs
+++ b/src/request/ingress/arrival.rs
@@ -12,6 +12,7 @@
         TokenQueue,
         charge_result, //
     },
+    leaving::refuse_closed,
 };
 use crate::{
     admission::Rank,
@@ -61,9 +62,9 @@
         let call_id = arrival.call;
         match self.admit(now, arrival, env) {
             Ok(()) => self.charge(now, call_id, env, out),
-            Err(code) => {
-                env.counts.add(Counter::Refused(code));
-                out.push(Action::Refuse(call_id, Refusal::unsent(code)));
+            Err(refusal) => {
+                env.counts.add(Counter::Refused(refusal.code()));
+                out.push(Action::Refuse(call_id, refusal));
             }
         }
     }
@@ -73,37 +74,43 @@
         now: Time,
         arrival: Arrival,
         env: &mut Environment<'_>,
-    ) -> Result<(), Code> {
+    ) -> Result<(), Refusal> {
         let tables = &env.snapshot.tables;
         if tables.routes.is_empty() {
-            return Err(Code::ConfigAbsent);
+            return Err(Refusal::unsent(Code::ConfigAbsent));
         }
         let route = tables.route(&arrival.host, &arrival.method, &arrival.path);
         let route = match (route, arrival.stale) {
             (Some(route), _) => route,
-            (None, true) => return Err(Code::ConfigStale),
-            (None, false) => return Err(Code::RouteUnknown),
+            (None, true) => return Err(Refusal::unsent(Code::ConfigStale)),
+            (None, false) => return Err(Refusal::unsent(Code::RouteUnknown)),
         };
-        // Calls of the local service belong to requests that started earlier and
-        // should be finished.
-        if arrival.leaving && !route.keyless {
-            return Err(Code::Leaving);
-        }
+        self.check_drain(now, &arrival, route, env)?;
         let mut attributed_to = None;
         let mut is_chain_known = true;
         let mut context = match &arrival.origin {
             Origin::Caller { .. } if route.keyless => {
                 let (attempt, is_certain, context) =
                     self.keyless_context(now, &arrival, route, env);
+                // Only the calls of requests that started earlier go on.
+                let is_nested =
+                    attempt.is_some() || !env.policy.attribution && env.proxy.is_running();
+                if arrival.leaving && !is_nested {
+                    return Err(refuse_closed(env));
+                }
                 attributed_to = attempt;
                 is_chain_known = is_certain;
                 context
             }
-            Origin::Caller { .. } if arrival.stale => return Err(Code::ConfigStale),
-            Origin::Caller { key } => {
-                self.root_context(arrival.call, key.as_deref(), route, env)?
+            Origin::Caller { .. } if arrival.stale => {
+                return Err(Refusal::unsent(Code::ConfigStale));
+            }
+            Origin::Caller { key } => self
+                .root_context(arrival.call, key.as_deref(), route, env)
+                .map_err(Refusal::unsent)?,
+            Origin::Service { parent } => {
+                nested_context(parent.as_ref(), route, env).map_err(Refusal::unsent)?
             }
-            Origin::Service { parent } => nested_context(parent.as_ref(), route, env)?,
         };
         context.digest = arrival.digest;
         context.left = arrival
--- a/src/request/ingress/attempt.rs
+++ b/src/request/ingress/attempt.rs
@@ -23,6 +23,7 @@
     },
     code::Code,
     context::Context,
+    estimate::Estimate,
     frame::Fate,
     id,
     metric::Counter,
@@ -66,12 +67,18 @@
         env: &mut Environment<'_>,
         out: &mut Vec<Action>,
     ) {
-        let Some(call) = self.calls.get_mut(&call_id) else {
+        let Some(call) = self.calls.get(&call_id) else {
             return;
         };
         if now >= call.deadline {
             return self.fail(now, call_id, Code::DeadlineUnfit, env, out);
         }
+        if !self.fits_drain(now, call_id, env) {
+            return self.fail(now, call_id, Code::Leaving, env, out);
+        }
+        let Some(call) = self.calls.get_mut(&call_id) else {
+            return;
+        };
         // Once an attempt may have started, the token is spent and its expiry no
         // longer matters.
         let unspent_grant = call.grant.filter(|_| !call.exposure.may_have_run());
@@ -116,7 +123,7 @@
             life,
             route: call.route.clone(),
             context: Context {
-                left: now.until(call.deadline),
+                left: now.until(call.deadline.min(env.ends_at)),
                 age: now.since(call.root_arrived),
                 repeat: call.context.repeat || call.has_reached_upstream(),
                 allowance: reserved_retries,
@@ -138,6 +145,8 @@
             silence_handled: false,
             stall_checks: 0,
             next_stall_check: now,
+            is_queried: false,
+            has_started: false,
         };
         self.attempts.insert(request, attempt);
         let deadline = call.deadline;
@@ -247,6 +256,11 @@
             .entry(call.route.clone())
             .or_insert(latency);
         *typical_latency += (latency - *typical_latency) * LATENCY_EWMA_WEIGHT;
+        let latency = Span::from_ms(latency as u64);
+        self.estimates
+            .entry(call.route.clone())
+            .and_modify(|estimate| estimate.record(latency))
+            .or_insert_with(|| Estimate::new(latency));
         env.counts.add(Counter::Whole);
         let observation = self.attempts[&request].observation;
         self.end_attempt(now, request, report.spent, observation, env);
@@ -417,6 +431,7 @@
             request,
             life: attempt.life,
             left: now.until(call.deadline),
+            unless_running: false,
         });
         self.set_state(
             call_id,
@@ -469,6 +484,9 @@
         };
         self.balancer.stalls.record_sign_of_life(now, peer);
         let state = self.calls.get(&call_id).map(|call| call.state);
+        if state == Some(State::Sent(request)) {
+            return self.waiting_result(now, request, fate, env, out);
+        }
         if !matches!(state, Some(State::Revoking { .. })) {
             return env.counts.add(Counter::Late);
         }
@@ -511,7 +529,12 @@
 
     /// Records that an attempt of the call has not run, and returns how it failed: if the
     /// call must not run twice and another attempt may have run, with an unknown outcome.
-    fn disprove(&mut self, call_id: id::Call, request: id::Request, proof: NotRun) -> Failure {
+    pub(super) fn disprove(
+        &mut self,
+        call_id: id::Call,
+        request: id::Request,
+        proof: NotRun,
+    ) -> Failure {
         let Some(call) = self.calls.get_mut(&call_id) else {
             return Failure::NotRun(proof);
         };
@@ -584,8 +607,8 @@
             }
             Reason::Unknown | Reason::Failed => false,
         };
-        let allowed =
-            fits_deadline && (is_free || self.take_retry(now, call_id, failure, no_retry, env));
+        let fits = fits_deadline && self.fits_drain(now, call_id, env);
+        let allowed = fits && (is_free || self.take_retry(now, call_id, failure, no_retry, env));
         if !allowed {
             env.counts.add(Counter::Unretried(reason));
         }
--- a/src/request/ingress/call.rs
+++ b/src/request/ingress/call.rs
@@ -21,7 +21,6 @@
         Importance, //
     },
     id,
-    metric::Stage,
     outcome::Exposure,
     quota::{
         Charge,
@@ -132,6 +131,10 @@
     pub stall_checks: u8,
     /// When to consider it next.
     pub next_stall_check: Time,
+    /// Whether the inbound proxy was asked not to start it, as this node stops.
+    pub is_queried: bool,
+    /// Whether the inbound proxy then replied that it runs.
+    pub has_started: bool,
 }
 
 impl Call {
@@ -158,15 +161,6 @@
         self.idempotent && self.replayable && self.claim.is_none()
     }
 
-    /// How far it has got.
-    pub fn stage(&self) -> Stage {
-        match self.state {
-            State::AwaitingToken(_) | State::Backoff(_) => Stage::Waiting,
-            State::Sent(_) | State::Revoking { .. } => Stage::Sent,
-            State::Delivering(_) => Stage::Answering,
-        }
-    }
-
     /// Whether an earlier attempt has reached an upstream.
     pub fn has_reached_upstream(&self) -> bool {
         self.exposure.may_have_run() || !self.rejected_by.is_empty()
--- a/src/request/ingress/end.rs
+++ b/src/request/ingress/end.rs
@@ -122,6 +122,7 @@
             let refusal = Refusal::uncertain(Code::DeadlinePassed);
             return out.push(Action::Refuse(call_id, refusal));
         }
+        self.record_overdue(now, call_id);
         let code = match self.cancel_attempt(now, call_id, env.policy, out) {
             true => Code::DeadlinePassed,
             false => Code::DeadlineUnfit,
@@ -129,11 +130,24 @@
         self.fail(now, call_id, code, env, out);
     }
 
+    /// Raises the estimate of a route by an attempt that its deadline ends.
+    fn record_overdue(&mut self, now: Time, call_id: id::Call) {
+        let Some(call) = self.calls.get(&call_id) else {
+            return;
+        };
+        if let State::Sent(request) = call.state
+            && let Some(attempt) = self.attempts.get(&request)
+            && let Some(estimate) = self.estimates.get_mut(&call.route)
+        {
+            estimate.record_unfinished(now.since(attempt.sent_at));
+        }
+    }
+
     /// Refuses all calls without a response, before the process exits. The response of
     /// a call that is being relayed goes on.
     pub(super) fn stop(&mut self, now: Time, env: &mut Environment<'_>, out: &mut Vec<Action>) {
         for call in self.calls.values() {
-            env.counts.add(Counter::DrainCut(call.stage()));
+            env.counts.add(Counter::DrainCut(self.stage(call)));
         }
         let is_delivering = |call: &Call| matches!(call.state, State::Delivering(_));
         let open = self.calls.iter().filter(|(_, call)| !is_delivering(call));
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -6,6 +6,7 @@
 pub mod balance;
 pub mod comeback;
 pub mod context;
+pub mod estimate;
 pub mod inbound;
 pub mod ingress;
 pub mod limit;
--- a/src/request/outcome.rs
+++ b/src/request/outcome.rs
@@ -166,12 +166,22 @@
     }
 }
 
+/// The time that a draining node lacks for a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shortage {
+    /// The time that the node has left.
+    pub left: Span,
+    /// The time that the call may take.
+    pub needed: Span,
+}
+
 /// The refusal of a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Refusal {
     code: Code,
     evidence: Option<Evidence>,
     retry_after: Option<Span>,
+    shortage: Option<Shortage>,
 }
 
 impl Refusal {
@@ -180,6 +190,7 @@
             code,
             evidence: (code.verdict() == Verdict::NotRun).then_some(evidence),
             retry_after: None,
+            shortage: None,
         }
     }
 
@@ -198,9 +209,15 @@
             code,
             evidence: None,
             retry_after: None,
+            shortage: None,
         }
     }
 
+    /// Sets the time that a draining node lacks for the call.
+    pub fn shortage(self, shortage: Option<Shortage>) -> Self {
+        Self { shortage, ..self }
+    }
+
     /// Sets after how long the caller may return.
     pub fn retry_after(self, wait: Option<Span>) -> Self {
         Self {
@@ -219,6 +236,11 @@
         self.evidence
     }
 
+    /// The time that a draining node lacks for the call, if it is refused for this.
+    pub fn drain(&self) -> Option<Shortage> {
+        self.shortage
+    }
+
     /// After how long the caller may return.
     pub fn wait(&self) -> Option<Span> {
         self.retry_after
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -28,6 +28,8 @@
 mod received;
 #[path = "platform/site.rs"]
 mod site;
+#[path = "platform/stop.rs"]
+mod stop;
 #[path = "platform/store.rs"]
 mod store;
 #[path = "platform/suspect.rs"]
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -39,6 +39,8 @@
 mod speed;
 #[path = "policy/stall.rs"]
 mod stall;
+#[path = "policy/stop.rs"]
+mod stop;
 #[path = "policy/suspect.rs"]
 mod suspect;
 #[path = "policy/throttle.rs"]
--- a/tests/policy/orders.rs
+++ b/tests/policy/orders.rs
@@ -281,12 +281,14 @@
                 request,
                 life,
                 left,
+                unless_running,
             } => {
                 let event = inbound::Event::Revoke {
                     request,
                     peer: "a".parse().expect("a name"),
                     life,
                     left,
+                    unless_running,
                 };
                 self.wire(to(&peer), event);
             }
