--- a/src/lib.rs
+++ b/src/lib.rs
@@ -76,6 +76,7 @@
         balance,
         comeback,
         context,
+        estimate,
         inbound,
         ingress,
         limit,
--- a/src/process/metric.rs
+++ b/src/process/metric.rs
@@ -32,6 +32,28 @@
     Probe,
 }
 
+/// How far a call had got when its node stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Stage {
+    /// No attempt was under way.
+    Waiting,
+    /// An attempt was under way.
+    Sent,
+    /// An attempt was under way and had started at its upstream.
+    Begun,
+    /// An answer was being relayed.
+    Answering,
+}
+
+/// Why a draining node does not take on a call or send it again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum DrainRefusal {
+    /// The node is about to stop, and no request that it finishes needs the call.
+    Closed,
+    /// The call may take longer than the node has left.
+    TooLate,
+}
+
 /// Why the connection of a caller ended before a request was answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum ConnectionEnd {
@@ -166,6 +188,13 @@
     /// Buffers that were given up because the memory held for other parties exceeded its
     /// budget, by the party that filled them.
     MemoryEvicted(Owner),
+    /// Calls that a draining node took on, by origin.
+    DrainTaken(Kind),
+    /// Calls that a draining node refused, or did not send again, by reason.
+    DrainRefused(DrainRefusal),
+    /// Calls without a complete answer when the time for draining was over, by how far
+    /// they had got.
+    DrainCut(Stage),
     /// Panics that ended a unit of work, by its kind.
     Panicked(Unit),
     /// Ends of tasks without which the node does not work; they are started again.
--- a/src/request/ingress/call.rs
+++ b/src/request/ingress/call.rs
@@ -131,6 +131,10 @@
     pub stall_checks: u8,
     /// When to consider it next.
     pub next_stall_check: Time,
+    /// Whether the inbound proxy was asked not to start it, as this node stops.
+    pub is_queried: bool,
+    /// Whether the inbound proxy then replied that it runs.
+    pub has_started: bool,
 }
 
 impl Call {
--- a/tests/policy/orders.rs
+++ b/tests/policy/orders.rs
@@ -243,6 +243,7 @@
             policy: Policy::default(),
             rng: &mut ChaCha8Rng::seed_from_u64(1),
             counts: &mut Counts::default(),
+            ends_at: Time::NEVER,
         };
         let mut out = Vec::new();
         self.router.on(self.now, event, &mut world, &mut out);
@@ -280,12 +281,14 @@
                 request,
                 life,
                 left,
+                unless_running,
             } => {
                 let event = inbound::Event::Revoke {
                     request,
                     peer: "a".parse().expect("a name"),
                     life,
                     left,
+                    unless_running,
                 };
                 self.wire(to(&peer), event);
             }
