Soak: answers without end, planned stops in calm, rules MEMORY and CUT

The soak played neither a server whose answer has no end nor a stop with clients that stay, so that it passed on code that keeps 32 KB of a server's bytes for each byte of payload and on a node that takes requests late in its grace period and cuts them.

`endless-answer`: a server answers 0.1 to 0.5 of its requests without end, in one of 14 framings, at 64 KiB each millisecond or as a trickle, for 2 to 6 s; 20 more clients call it on routes with a timeout of 4 s. Clients stop reading what is longer than any answer, which is counted apart. `planned-stop`: one after the other and in calm, a node gets SIGTERM while 24 clients stay with it and 8 call other nodes, on routes of up to 3.9 s of work (timeout 4 s), with and without a key, with uploads that pause for up to 3 s; the called servers have room, 4 slots each, or reject 0.3. MEMORY: the peak of VmHWM of each process stays below 260 MB. CUT: at a planned stop with nothing else wrong, what runs at a sound server is not ended by a node, and what never ran and was sent whole is refused.

UNANSWERED counts the time of the new long uploads from their last byte, as the route's timeout does; that of all other requests is judged as before.

--- a/src/soak.rs
+++ b/src/soak.rs
@@ -11,11 +11,13 @@
 
 mod client;
 pub(crate) mod config;
+mod endless;
 mod judge;
 mod life;
 mod machine;
 mod odd;
 mod plan;
+mod planned;
 mod process;
 mod record;
 mod relay;
@@ -247,7 +249,7 @@
     let record = world.record();
     let saved = record.save(&world.options.folder.join("record.jsonl"));
     saved.map_err(|error| vec![error.into()])?;
-    println!("{}", record.summary());
+    println!("{}; {}", record.summary(), memory(&world.machines));
     let findings = judge::findings(&world, &record);
     let mut errors = Vec::new();
     for (rule, cases) in findings {
@@ -265,6 +267,19 @@
     }
 }
 
+/// Names the most memory that each process had resident.
+fn memory(machines: &[Machine]) -> String {
+    let of_machine = |machine: &Machine| {
+        let peaks = machine.process.peaks().into_iter();
+        let peaks: Vec<_> = peaks
+            .map(|peak| (peak / judge::MEGABYTE).to_string())
+            .collect();
+        format!("{} {}", machine.identity.name, peaks.join(" "))
+    };
+    let machines: Vec<_> = machines.iter().map(of_machine).collect();
+    format!("peak memory in MB: {}", machines.join(", "))
+}
+
 async fn start(options: Options, dialect: Box<dyn Dialect>) -> Result<World> {
     std::fs::create_dir_all(&options.folder)?;
     let network = machine::Network::find()?;
--- a/src/soak/client.rs
+++ b/src/soak/client.rs
@@ -1,7 +1,10 @@
 //! Clients, which keep connections, pipeline, upload, give up, and come back.
 
 use std::{
-    cell::RefCell,
+    cell::{
+        Cell,
+        RefCell, //
+    },
     rc::Rc, //
 };
 
@@ -29,6 +32,7 @@
 use super::{
     World,
     config::{
+        Callers,
         HOST,
         Kind,
         LIMITED_TEAM,
@@ -50,13 +54,18 @@
     Span, //
 };
 
+/// How long after the timeout of its route a client waits for an answer.
+const PATIENCE: Span = Span::from_ms(2500);
 /// Longest time that a client waits.
-pub(super) const LONGEST_DEADLINE: Span = Span::from_ms(4000);
+pub(super) const LONGEST_DEADLINE: Span = Span::from_ms(6500);
 /// Most clients of each machine, and of all, as far as each machine has one.
 const CLIENTS: usize = 6;
 const ALL_CLIENTS: usize = 120;
 /// Pause of a client between two requests, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 20..220;
+/// Longest time that a client keeps a connection open that it reads no more, in
+/// milliseconds.
+const MAX_LINGER_MS: u64 = 3000;
 const CONNECT_TIMEOUT: Span = Span::from_secs(1);
 /// Share of clients' requests that they give up early.
 const GIVE_UP_SHARE: f64 = 0.02;
@@ -74,6 +83,10 @@
 const PIPELINED: usize = 3;
 /// Longest pause of a slow upload, in milliseconds.
 const UPLOAD_PAUSE_MS: u64 = 900;
+const LONG_UPLOAD_PAUSE_MS: u64 = 3000;
+/// Share of uploads that pause, of most clients and of those that stay.
+const UPLOAD_PAUSE_SHARE: f64 = 0.2;
+const LONG_UPLOAD_PAUSE_SHARE: f64 = 0.7;
 const UPLOAD_BYTES: std::ops::Range<u64> = 500..180_000;
 
 /// A request that is ready to be sent.
@@ -94,6 +107,8 @@
     seal: Option<String>,
     retry_after: Option<Span>,
     body: Bytes,
+    /// Whether its body is longer than any, and was not read on.
+    is_oversized: bool,
     keeps_open: bool,
 }
 
@@ -117,18 +132,19 @@
 
 async fn live(world: Rc<World>, machine: usize) {
     let kept = Kept::default();
+    let routes = Route::of_callers(Callers::Clients);
     while world.open.get() {
         let pause_ms = world.draw(PAUSE_MS);
         pause(Span::from_ms(pause_ms)).await;
-        let outer: Vec<_> = ROUTES.iter().filter(|route| !route.inner).collect();
-        let route = outer[world.draw(0..outer.len() as u64) as usize];
+        let route = draw_route(&world, &routes);
         if route.kind == Kind::Safe && world.chance(0.3) {
             pipeline(&world, machine, route, &kept).await;
             continue;
         }
         for returns in 0..=MAX_RETURNS {
             let key = draw_key(&world);
-            let request = prepare(&world, machine, route, Some(key), LONGEST_DEADLINE);
+            let deadline = route.timeout + PATIENCE;
+            let request = prepare(&world, machine, route, Some(key), deadline);
             let (got, wait) = exchange(&world, request, machine, &kept).await;
             let comes_back = got.is_promise() || got == Got::Unsent;
             if !comes_back || returns == MAX_RETURNS || !world.open.get() {
@@ -141,6 +157,29 @@
     }
 }
 
+/// Sends requests to a machine until it is over, each once the last one has ended.
+pub(super) async fn stay(
+    world: Rc<World>,
+    machine: usize,
+    routes: Vec<&'static Route>,
+    is_over: Rc<Cell<bool>>,
+) {
+    let kept = Kept::default();
+    while !is_over.get() {
+        let pause_ms = world.draw(PAUSE_MS);
+        pause(Span::from_ms(pause_ms)).await;
+        let route = draw_route(&world, &routes);
+        let key = (!route.keyless).then(|| draw_key(&world));
+        let deadline = route.timeout + PATIENCE;
+        let request = prepare(&world, machine, route, key, deadline);
+        exchange(&world, request, machine, &kept).await;
+    }
+}
+
+fn draw_route(world: &World, routes: &[&'static Route]) -> &'static Route {
+    routes[world.draw(0..routes.len() as u64) as usize]
+}
+
 /// Makes a call of the server of a machine.
 pub(super) async fn nested(world: &World, machine: usize, route: &str, left: Span) -> Got {
     let Some(route) = ROUTES.iter().find(|other| other.name == route) else {
@@ -219,8 +258,12 @@
         head.push_str(&format!("content-length: {length}\r\n"));
     }
     head.push_str("\r\n");
-    let stall = match route.kind == Kind::Upload && world.chance(0.2) {
-        true => world.draw_span(1, UPLOAD_PAUSE_MS),
+    let (share, longest) = match route.callers {
+        Callers::Stayers => (LONG_UPLOAD_PAUSE_SHARE, LONG_UPLOAD_PAUSE_MS),
+        _ => (UPLOAD_PAUSE_SHARE, UPLOAD_PAUSE_MS),
+    };
+    let stall = match route.kind == Kind::Upload && world.chance(share) {
+        true => world.draw_span(1, longest),
         false => Span::ZERO,
     };
     let request = Request {
@@ -230,6 +273,8 @@
         key,
         body: xxh3_64(&body),
         sent: Clock.now(),
+        written: None,
+        limit: route.timeout.min(deadline),
         kept: false,
         is_behind: false,
         got: None,
@@ -285,6 +330,9 @@
         tokio::select! {
             written = &mut write => {
                 is_sent = written.is_some();
+                if is_sent {
+                    world.record().set_written(&request.id, Clock.now());
+                }
                 read.await
             }
             answer = &mut read => answer,
@@ -293,6 +341,10 @@
     let Some(answer) = answer else {
         return (Got::Closed, None);
     };
+    if answer.is_oversized {
+        linger(world, connection);
+        return (Got::Oversized, None);
+    }
     check(world, &request.id, &answer);
     if answer.keeps_open && is_sent {
         kept.replace(Some(connection));
@@ -300,11 +352,21 @@
     (Got::Status(answer.status), answer.retry_after)
 }
 
+/// Keeps a connection open for a while without reading.
+fn linger(world: &World, connection: Connection) {
+    let lingering = world.draw_span(0, MAX_LINGER_MS);
+    actix_rt::spawn(async move {
+        pause(lingering).await;
+        drop(connection);
+    });
+}
+
 /// Sends requests behind each other and reads their answers.
 async fn pipeline(world: &World, machine: usize, route: &'static Route, kept: &Kept) {
     let key = draw_key(world);
+    let deadline = route.timeout + PATIENCE;
     let requests: Vec<_> = (0..PIPELINED)
-        .map(|_| prepare(world, machine, route, Some(key.clone()), LONGEST_DEADLINE))
+        .map(|_| prepare(world, machine, route, Some(key.clone()), deadline))
         .collect();
     for request in &requests[1..] {
         if let Some(request) = world.record().requests.get_mut(&request.id) {
@@ -318,24 +380,32 @@
         Some(mut connection) => {
             let all: String = requests.iter().map(|request| &*request.head).collect();
             let _ = connection.writer.write_all(all.as_bytes()).await;
-            let end = within(LONGEST_DEADLINE, async {
+            for request in &requests {
+                world.record().set_written(&request.id, Clock.now());
+            }
+            let end = within(deadline, async {
                 for request in &requests {
                     let read = read_answer(world, &mut connection.reader, &mut connection.input);
-                    let answer = read.await?;
+                    let answer = read.await.ok_or(Got::Closed)?;
+                    answered += 1;
+                    if answer.is_oversized {
+                        let got = Got::Oversized;
+                        world.record().set_got(&request.id, Clock.now(), got);
+                        return Err(Got::Nothing);
+                    }
                     check(world, &request.id, &answer);
                     let got = Got::Status(answer.status);
                     world.record().set_got(&request.id, Clock.now(), got);
-                    answered += 1;
                     if !answer.keeps_open {
-                        return None;
+                        return Err(Got::Closed);
                     }
                 }
-                Some(())
+                Ok(())
             });
             match end.await {
                 None => Got::Nothing,
-                Some(None) => Got::Closed,
-                Some(Some(())) => {
+                Some(Err(end)) => end,
+                Some(Ok(())) => {
                     kept.replace(Some(connection));
                     return;
                 }
@@ -429,6 +499,7 @@
         seal: names.seal.and_then(text),
         retry_after: wait.map(|seconds| Span::from_ms((seconds * 1000.0) as u64)),
         body: Bytes::new(),
+        is_oversized: false,
         keeps_open: text("connection").is_none_or(|text| !text.eq_ignore_ascii_case("close")),
     };
     if codec.message_type() == h1::MessageType::None {
@@ -443,6 +514,10 @@
             None if reader.read_buf(input).await.ok()? == 0 => return None,
             None => {}
         }
+        if body.len() > server::MAX_ANSWER_BYTES {
+            answer.is_oversized = true;
+            break;
+        }
     }
     answer.body = body.freeze();
     Some(answer)
--- a/src/soak/config.rs
+++ b/src/soak/config.rs
@@ -15,8 +15,13 @@
 pub(crate) const LIMIT_BURST: u32 = 20;
 /// The teams.
 pub(crate) const TEAMS: [&str; 3] = ["large", "middle", LIMITED_TEAM];
-/// Longest time that routes give an answer.
-pub(crate) const ROUTE_TIMEOUT: Span = Span::from_ms(1500);
+/// Longest time that routes give an answer, most of them and those of long work.
+const ROUTE_TIMEOUT: Span = Span::from_ms(1500);
+const LONG_TIMEOUT: Span = Span::from_ms(4000);
+/// How long a request takes, in milliseconds.
+const SHORT_WORK_MS: [u64; 2] = [3, 45];
+const WORK_MS: [u64; 2] = [50, 1300];
+const LONG_WORK_MS: [u64; 2] = [50, 3900];
 
 /// What may be repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,6 +31,17 @@
     Upload,
 }
 
+/// Who sends requests on a route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Callers {
+    Clients,
+    /// Those that stay with a node until its process is gone.
+    Stayers,
+    /// Those that come while a server answers without end.
+    Patient,
+    Servers,
+}
+
 /// A route.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Route {
@@ -33,13 +49,49 @@
     pub(crate) kind: Kind,
     /// The service; the operator moves the route without one.
     pub(crate) service: Option<&'static str>,
-    /// Whether only servers call it, without a key.
-    pub(crate) inner: bool,
+    pub(crate) callers: Callers,
+    /// Whether it is called without a key.
+    pub(crate) keyless: bool,
     /// Number of servers to which one request may be sent.
     pub(crate) max_attempts: u8,
+    pub(crate) timeout: Span,
+    /// The shortest and the longest work, in milliseconds.
+    pub(crate) work_ms: [u64; 2],
 }
 
 impl Route {
+    /// The routes of these callers.
+    pub(crate) fn of_callers(callers: Callers) -> Vec<&'static Self> {
+        let all = ROUTES.iter();
+        all.filter(|route| route.callers == callers).collect()
+    }
+
+    const fn inner(self) -> Self {
+        Self {
+            callers: Callers::Servers,
+            keyless: true,
+            ..self
+        }
+    }
+
+    const fn patient(self) -> Self {
+        Self {
+            callers: Callers::Patient,
+            timeout: LONG_TIMEOUT,
+            ..self
+        }
+    }
+
+    const fn staying(self, keyless: bool, timeout: Span, work_ms: [u64; 2]) -> Self {
+        Self {
+            callers: Callers::Stayers,
+            keyless,
+            timeout,
+            work_ms,
+            ..self
+        }
+    }
+
     pub(crate) fn is_idempotent(&self) -> bool {
         self.kind == Kind::Safe
     }
@@ -62,27 +114,36 @@
     name: &'static str,
     kind: Kind,
     service: Option<&'static str>,
-    inner: bool,
     max_attempts: u8,
 ) -> Route {
     Route {
         name,
         kind,
         service,
-        inner,
+        callers: Callers::Clients,
+        keyless: false,
         max_attempts,
+        timeout: ROUTE_TIMEOUT,
+        work_ms: SHORT_WORK_MS,
     }
 }
 
 /// All routes.
-pub(crate) const ROUTES: [Route; 7] = [
-    route("view", Kind::Safe, Some("front"), false, 3),
-    route("order", Kind::Unsafe, Some("orders"), false, 2),
-    route("ship", Kind::Unsafe, Some("front"), false, 3),
-    route("upload", Kind::Upload, Some("orders"), false, 2),
-    route("move", Kind::Unsafe, None, false, 3),
-    route("check", Kind::Safe, Some("stock"), true, 2),
-    route("reserve", Kind::Unsafe, Some("stock"), true, 2),
+pub(crate) const ROUTES: [Route; 14] = [
+    route("view", Kind::Safe, Some("front"), 3),
+    route("order", Kind::Unsafe, Some("orders"), 2),
+    route("ship", Kind::Unsafe, Some("front"), 3),
+    route("upload", Kind::Upload, Some("orders"), 2),
+    route("move", Kind::Unsafe, None, 3),
+    route("check", Kind::Safe, Some("stock"), 2).inner(),
+    route("reserve", Kind::Unsafe, Some("stock"), 2).inner(),
+    route("build", Kind::Unsafe, Some("orders"), 2).staying(false, LONG_TIMEOUT, LONG_WORK_MS),
+    route("visit", Kind::Unsafe, Some("orders"), 2).staying(true, ROUTE_TIMEOUT, WORK_MS),
+    route("tour", Kind::Unsafe, Some("orders"), 2).staying(true, LONG_TIMEOUT, LONG_WORK_MS),
+    route("deposit", Kind::Upload, Some("orders"), 2).staying(false, LONG_TIMEOUT, WORK_MS),
+    route("browse", Kind::Safe, Some("front"), 3).patient(),
+    route("quote", Kind::Unsafe, Some("orders"), 2).patient(),
+    route("count", Kind::Safe, Some("stock"), 3).patient(),
 ];
 
 /// Services between which the operator moves the route that has none.
--- a/src/soak/judge.rs
+++ b/src/soak/judge.rs
@@ -3,6 +3,8 @@
 //! Rules that bound a time hold only for machines that were undisturbed, and for a while
 //! before. The rules on single requests hold always.
 
+mod cut;
+
 use std::collections::{
     BTreeMap,
     BTreeSet, //
@@ -15,7 +17,6 @@
         LIMIT_BURST,
         LIMIT_RATE,
         LIMITED_TEAM,
-        ROUTE_TIMEOUT,
         SERVICES, //
     },
     record::{
@@ -45,6 +46,10 @@
     pub(crate) quota_window: Span,
     pub(crate) quota_overshoot: f64,
     pub(crate) quota_slack: f64,
+    /// Most memory that a node's process may have resident, in bytes.
+    pub(crate) memory: u64,
+    /// How long after its last byte a request may still cross the close of its connection.
+    pub(crate) loss_slack: Span,
 }
 
 /// How long after its timeout a request may be answered.
@@ -58,6 +63,7 @@
 /// Requests that may fail without a fault, and one more in so many.
 const MAX_UNSERVED: usize = 5;
 const REQUESTS_PER_UNSERVED: usize = 500;
+pub(super) const MEGABYTE: u64 = 1_000_000;
 /// How long a machine must have been undisturbed before a rule on time binds it.
 const CONTACT: Span = Span::from_ms(3000);
 
@@ -122,9 +128,9 @@
     /// Judges whether a request was answered at all.
     fn unanswered(&self, request: &Request) -> Option<(Rule, String)> {
         let (at, got) = request.got?;
-        let took = at.since(request.sent);
+        let took = at.since(request.due_from());
         let is_unanswered = got == Got::Nothing
-            && took >= ROUTE_TIMEOUT + MAX_OVERRUN
+            && took >= request.route.timeout + MAX_OVERRUN
             && !request.is_behind
             && self.is_calm(request.machine, request.sent, at);
         is_unanswered.then(|| (Rule::Unanswered, format!("no answer within {took}")))
@@ -177,9 +183,11 @@
         broken.extend(self.lost());
         broken.extend(self.cut_short());
         broken.extend(self.broken_off());
+        broken.extend(self.cut());
         broken.extend(self.late());
         broken.extend(self.unready());
         broken.extend(self.unserved());
+        broken.extend(self.memory());
         broken.extend(self.quota());
         broken.extend(SERVICES.iter().filter_map(|service| self.budget(service)));
         broken
@@ -228,7 +236,7 @@
             request.runs().any(|run| is_sound(run.machine))
                 && is_planned(request.machine)
                 && !self.world.machines[request.machine].is_calm(request.sent, at)
-                && at.since(request.sent) < ROUTE_TIMEOUT
+                && at.since(request.sent) < request.route.timeout
                 && !self.record.is_stalled(request.sent, at)
         };
         let requests = self.record.requests.iter();
@@ -252,7 +260,7 @@
             let machine = &self.world.machines[request.machine];
             request.route.kind == Kind::Unsafe
                 && !request.sealed
-                && at.since(request.sent) < ROUTE_TIMEOUT
+                && at.since(request.sent) < request.route.timeout
                 && request.runs().any(|run| is_at_work(run.machine))
                 && machine.is_calm_but_for_store(request.sent, at)
                 && !self.record.is_stalled(request.sent, at)
@@ -337,13 +345,13 @@
             Got::Status(status) => !request.sealed && !(200..300).contains(&status),
             Got::Closed => !request.kept && !request.is_behind,
             Got::Unsent => true,
-            Got::Nothing => at.since(request.sent) >= ROUTE_TIMEOUT && !request.is_behind,
+            Got::Oversized => false,
+            Got::Nothing => at.since(request.sent) >= request.route.timeout && !request.is_behind,
         }
     }
 
     /// Requests that outlast the timeout of their route.
     fn late(&self) -> Option<(Rule, String)> {
-        let limit = ROUTE_TIMEOUT + LATENESS;
         let mut outlasting = 0;
         let mut late = Vec::new();
         for (id, request) in &self.record.requests {
@@ -352,14 +360,14 @@
             };
             let took = at.since(request.sent);
             let is_answered = matches!(got, Got::Status(_));
-            if took < ROUTE_TIMEOUT
+            if took < request.route.timeout
                 || !(is_answered || got == Got::Nothing)
                 || !self.is_calm(request.machine, request.sent, at)
             {
                 continue;
             }
             outlasting += 1;
-            if took > limit {
+            if took > request.route.timeout + LATENESS {
                 late.push(id.as_str());
             }
         }
@@ -370,6 +378,21 @@
         })
     }
 
+    /// Processes that used more memory than they may.
+    fn memory(&self) -> Vec<(Rule, String)> {
+        let limit = self.world.dialect.bounds().memory;
+        let mut broken = Vec::new();
+        for machine in &self.world.machines {
+            let name = &machine.identity.name;
+            let peaks = machine.process.peaks();
+            for peak in peaks.into_iter().filter(|peak| *peak >= limit) {
+                let case = format!("{name} had {} MB resident", peak / MEGABYTE);
+                broken.push((Rule::Memory, case));
+            }
+        }
+        broken
+    }
+
     /// What the limited team ran in any window.
     fn quota(&self) -> Option<(Rule, String)> {
         let bounds = self.world.dialect.bounds();
--- a/src/soak/machine.rs
+++ b/src/soak/machine.rs
@@ -352,6 +352,7 @@
     let machine = &world.machines[number];
     loop {
         let name = &machine.identity.name;
+        machine.process.measure();
         match machine.process.look_after() {
             Ok(ends) => {
                 for status in ends {
--- a/src/soak/plan.rs
+++ b/src/soak/plan.rs
@@ -1,6 +1,7 @@
 //! The faults of a soak, drawn by its seed. They come in series that overlap.
 
 use std::{
+    cell::Cell,
     fmt,
     rc::Rc,
     str::FromStr, //
@@ -14,17 +15,20 @@
 use rustix::process::Signal;
 
 use super::{
-    COOL_DOWN, Mood, WARM_UP, World,
+    COOL_DOWN, Mood, WARM_UP, World, client,
     config::{
+        Callers,
+        Route,
         SERVICES,
         TEAMS, //
     },
+    endless::Endless,
     life,
     machine::{
         Machine,
         State, //
     },
-    odd, pause,
+    odd, pause, planned,
     record::Rule,
     relay::{
         Mode,
@@ -79,6 +83,8 @@
     Unproven = "unproven";
     /// A server breaks off within the heads of answers.
     HeadCut = "head-cut";
+    /// A server answers some requests without end.
+    EndlessAnswer = "endless-answer";
     /// A server loses answers.
     Lose = "lose";
     /// A server accepts requests and does not answer.
@@ -101,6 +107,8 @@
     Kill = "kill";
     /// A node's process is told to end.
     Terminate = "terminate";
+    /// A node's process is told to end in calm, and clients stay with it.
+    PlannedStop = "planned-stop";
     /// A node's settings file changes, with a signal.
     HangUp = "hang-up";
     /// A node's process gets a signal while it starts, again and again.
@@ -166,6 +174,12 @@
 const STARVED_MS: std::ops::Range<u64> = 20..90;
 const RUNNING_MS: std::ops::Range<u64> = 2..20;
 
+/// Clients beyond the usual ones while a server answers without end.
+const MORE_CLIENTS: usize = 20;
+/// How long a server answers without end, in milliseconds, and what share of requests.
+const ENDLESS_MS: std::ops::Range<u64> = 2000..6000;
+const ENDLESS_SHARE: std::ops::Range<f64> = 0.1..0.5;
+
 /// One fault as it was drawn.
 struct Event {
     after: Span,
@@ -187,15 +201,26 @@
     let end = length.saturating_sub((WARM_UP + COOL_DOWN).as_ms());
     let mut events = Vec::new();
     let mut at = 0;
+    let mut last = 0;
+    let mut next_stop = 0;
     while at < end {
-        let after = rng.random_range(0..=2 * interval);
-        events.push(Event {
-            after: Span::from_ms(after),
+        at += rng.random_range(0..=2 * interval);
+        let event = Event {
+            after: Span::from_ms(at - last),
             fault: kinds[rng.random_range(0..kinds.len())],
             machine: rng.random_range(0..options.nodes),
             rng: ChaCha8Rng::seed_from_u64(rng.random()),
-        });
-        at += after;
+        };
+        // One after the other, as a planned stop is judged only in calm.
+        if event.fault == Fault::PlannedStop {
+            if at < next_stop {
+                continue;
+            }
+            let grace = world.dialect.bounds().grace;
+            next_stop = at + planned::length(grace).as_ms();
+        }
+        last = at;
+        events.push(event);
     }
     events
 }
@@ -246,6 +271,7 @@
         | Fault::Lose => {
             spoil(machine, long, |faults| draw_spoil(fault, rng, faults)).await;
         }
+        Fault::EndlessAnswer => pour(world, machine, rng).await,
         Fault::Crash | Fault::Reuse | Fault::Leave => {
             if machine.server.begin_change() {
                 let changed = change_server(world, number, fault, rng).await;
@@ -265,6 +291,12 @@
         }
         Fault::Kill => machine.kill(short),
         Fault::Terminate => machine.terminate(world.dialect.bounds().grace, short),
+        Fault::PlannedStop => {
+            if machine.begin_change() {
+                planned::play(world, machine, rng).await;
+                machine.end_change();
+            }
+        }
         Fault::HangUp => report(world, number, machine.hang_up()),
         Fault::EarlyHangUp | Fault::AddressInUse | Fault::TornSettings | Fault::Successor => {
             if machine.begin_change() {
@@ -349,6 +381,21 @@
     machine.server.faults.take();
 }
 
+/// Lets a server answer without end for some time, with more clients than usual.
+async fn pour(world: &Rc<World>, machine: &Machine, rng: &mut ChaCha8Rng) {
+    let span = Span::from_ms(rng.random_range(ENDLESS_MS));
+    let is_over = Rc::new(Cell::new(false));
+    for _ in 0..MORE_CLIENTS {
+        let number = rng.random_range(0..world.machines.len());
+        let mut routes = Route::of_callers(Callers::Patient);
+        routes.retain(|route| route.service == Some(machine.identity.service));
+        actix_rt::spawn(client::stay(world.clone(), number, routes, is_over.clone()));
+    }
+    let endless = (rng.random_range(ENDLESS_SHARE), Endless::draw(rng));
+    spoil(machine, span, |faults| faults.endless = Some(endless)).await;
+    is_over.set(true);
+}
+
 async fn stand_still(machine: &Machine, span: Span) {
     machine.disruptions.begin(span);
     machine.process.signal(Signal::STOP);
--- a/src/soak/process.rs
+++ b/src/soak/process.rs
@@ -5,6 +5,7 @@
         Cell,
         RefCell, //
     },
+    collections::BTreeMap,
     fs, io,
     path::PathBuf,
     process::{
@@ -49,6 +50,8 @@
     start_at: Cell<Time>,
     /// Told at each start.
     pub(super) started: Notify,
+    /// Most memory that each process had resident, in bytes, by its id.
+    peaks: RefCell<BTreeMap<u32, u64>>,
 }
 
 impl Process {
@@ -65,6 +68,7 @@
             kill_at: Cell::new(Time::NEVER),
             start_at: Cell::new(Time::ZERO),
             started: Notify::new(),
+            peaks: RefCell::default(),
         })
     }
 
@@ -80,12 +84,27 @@
         let Some(id) = self.child.borrow().as_ref().map(Child::id) else {
             return false;
         };
-        let Ok(status) = fs::read_to_string(format!("/proc/{id}/status")) else {
-            return true;
-        };
-        let mut lines = status.lines();
-        let caught = lines.find_map(|line| line.strip_prefix("SigCgt:"));
-        caught.is_none_or(|set| set.trim().chars().any(|digit| digit != '0'))
+        let caught = status(id, "SigCgt:");
+        caught.is_none_or(|set| set.chars().any(|digit| digit != '0'))
+    }
+
+    /// Records how much memory the processes have used so far.
+    pub(super) fn measure(&self) {
+        let predecessors = self.predecessors.borrow();
+        let child = self.child.borrow();
+        let running = predecessors.iter().map(|(child, _)| child).chain(&*child);
+        for id in running.map(Child::id) {
+            if let Some(peak) = peak(id) {
+                let mut peaks = self.peaks.borrow_mut();
+                let highest = peaks.entry(id).or_default();
+                *highest = peak.max(*highest);
+            }
+        }
+    }
+
+    /// The most memory that each process had resident, in bytes.
+    pub(super) fn peaks(&self) -> Vec<u64> {
+        self.peaks.borrow().values().copied().collect()
     }
 
     /// Kills the process, which starts again at a time.
@@ -205,6 +224,20 @@
     }
 }
 
+/// Returns a line of what the system says of a process.
+fn status(id: u32, name: &str) -> Option<String> {
+    let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+    let value = status.lines().find_map(|line| line.strip_prefix(name))?;
+    Some(value.trim().to_owned())
+}
+
+/// The most memory that a process has had resident, in bytes.
+fn peak(id: u32) -> Option<u64> {
+    let text = status(id, "VmHWM:")?;
+    let kilobytes: u64 = text.strip_suffix("kB")?.trim().parse().ok()?;
+    Some(kilobytes * 1024)
+}
+
 /// The exit code of a process whose grace period was over before all requests had ended.
 const UNDRAINED: i32 = 1;
 
--- a/src/soak/record.rs
+++ b/src/soak/record.rs
@@ -14,8 +14,15 @@
 
 use serde_json::json;
 
-use super::config::Route;
-use crate::clock::Time;
+use super::config::{
+    Callers,
+    Kind,
+    Route, //
+};
+use crate::clock::{
+    Span,
+    Time, //
+};
 
 /// A rule that was seen broken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -26,6 +33,8 @@
     Unasked,
     Route,
     Lost,
+    /// A planned stop broke a request off.
+    Cut,
     Config,
     /// A request gets neither an answer nor the end of its connection.
     Unanswered,
@@ -38,6 +47,8 @@
     Served,
     /// A process ended by itself.
     Ended,
+    /// A process used more memory than it may.
+    Memory,
 }
 
 impl fmt::Display for Rule {
@@ -54,6 +65,8 @@
     Closed,
     /// No connection was accepted.
     Unsent,
+    /// More bytes came than any answer has, and the client stopped reading.
+    Oversized,
     /// No answer came before the client gave up.
     Nothing,
 }
@@ -87,6 +100,10 @@
     pub(super) key: Option<String>,
     pub(super) body: u64,
     pub(super) sent: Time,
+    /// When its last byte was sent.
+    pub(super) written: Option<Time>,
+    /// How long it may take.
+    pub(super) limit: Span,
     /// Whether its connection had carried a request before.
     pub(super) kept: bool,
     /// Whether it was sent behind another one, without waiting for the answer.
@@ -98,11 +115,28 @@
 }
 
 impl Request {
+    /// From when on its answer is due. Uploads of clients that stay pause for so long that
+    /// their time runs from their last byte.
+    pub(super) fn due_from(&self) -> Time {
+        match (self.route.callers, self.route.kind, self.written) {
+            (Callers::Stayers, Kind::Upload, Some(written)) => written,
+            _ => self.sent,
+        }
+    }
+
     pub(super) fn runs(&self) -> impl Iterator<Item = &Arrival> {
         self.arrivals.iter().filter(|arrival| arrival.ran)
     }
 }
 
+/// A planned stop of a node: when its process was told to end, and when it was gone.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Stop {
+    pub(super) machine: usize,
+    pub(super) at: Time,
+    pub(super) gone: Time,
+}
+
 /// All that has happened.
 #[derive(Default)]
 pub(super) struct Record {
@@ -111,6 +145,7 @@
     pub(super) broken: Vec<(Rule, String)>,
     /// When this process got no processor time.
     pub(super) stalls: Vec<(Time, Time)>,
+    pub(super) stops: Vec<Stop>,
     /// Number of faults, by name.
     pub(super) faults: BTreeMap<String, usize>,
 }
@@ -140,6 +175,12 @@
         }
     }
 
+    pub(super) fn set_written(&mut self, id: &str, now: Time) {
+        if let Some(request) = self.requests.get_mut(id) {
+            request.written = Some(now);
+        }
+    }
+
     pub(super) fn set_got(&mut self, id: &str, now: Time, got: Got) {
         if let Some(request) = self.requests.get_mut(id) {
             request.got = Some((now, got));
@@ -167,9 +208,15 @@
             .iter()
             .map(|(name, n)| format!("{name} {n}"))
             .collect();
+        let stops: Vec<_> = self
+            .stops
+            .iter()
+            .map(|stop| stop.gone.since(stop.at).to_string())
+            .collect();
         format!(
             "{} requests: {} served, {} of 429, {} of 503, {} of 502, {} of 504, {} closed, \
-             {} given up; {repeats} repeats at servers; stalls of this process {}; faults: {}",
+             {} oversized, {} given up; {repeats} repeats at servers; stalls of this process {}; faults: {}; \
+             planned stops took: {}",
             self.requests.len(),
             status(200..300),
             status(429..430),
@@ -177,9 +224,11 @@
             status(502..503),
             status(504..505),
             count(&|request| matches!(request.got, Some((_, Got::Closed)))),
+            count(&|request| matches!(request.got, Some((_, Got::Oversized)))),
             count(&|request| matches!(request.got, None | Some((_, Got::Nothing)))),
             self.stalls.len(),
-            faults.join(", ")
+            faults.join(", "),
+            stops.join(", ")
         )
     }
 
@@ -195,6 +244,7 @@
             let line = json!({
                 "id": id, "route": request.route.name, "machine": request.machine,
                 "key": request.key, "sent": request.sent.as_ms(), "kept": request.kept,
+                "written": request.written.map(Time::as_ms),
                 "got": request.got.map(|(at, got)| (at.as_ms(), format!("{got:?}"))),
                 "arrivals": arrivals.collect::<Vec<_>>(),
             });
--- a/src/soak/server.rs
+++ b/src/soak/server.rs
@@ -28,6 +28,7 @@
 use super::{
     World, client,
     config::Route,
+    endless::Endless,
     judge,
     machine::{
         Announcement,
@@ -57,8 +58,6 @@
 
 /// Requests that a server runs at a time.
 const SLOTS: u32 = 24;
-/// How long a request takes, in milliseconds.
-const WORK_MS: std::ops::Range<u64> = 3..45;
 /// Share of requests that fail by themselves.
 const FAILURE_SHARE: f64 = 0.004;
 /// Share of rejections that echo no id.
@@ -69,6 +68,8 @@
 const ANNOUNCEMENT_TIMEOUT: Span = Span::from_secs(1);
 /// Length of the shortest and the longest answer, in bytes.
 const ANSWER_BYTES: std::ops::Range<u64> = 40..6000;
+/// No answer is longer.
+pub(super) const MAX_ANSWER_BYTES: usize = (ANSWER_BYTES.start + ANSWER_BYTES.end) as usize;
 
 /// How a server may spoil an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -119,6 +120,8 @@
     /// Share of answers that it spoils, and how.
     pub(super) garble: f64,
     pub(super) garbles: Vec<Garble>,
+    /// Share of requests that it answers without end, and how.
+    pub(super) endless: Option<(f64, Endless)>,
     /// Share of answers that are lost, by a reset of the connection if so.
     pub(super) lose: f64,
     pub(super) reset: bool,
@@ -144,6 +147,8 @@
     /// When the present server's leaving was acknowledged.
     pub(super) drain_acknowledged: Cell<Option<Time>>,
     pub(super) faults: RefCell<Faults>,
+    /// The slots that it announces.
+    pub(super) slots: Cell<u32>,
     /// When it was not sound, until when.
     sick: RefCell<Vec<(Time, Time)>>,
     /// The connection that its own calls keep.
@@ -165,11 +170,16 @@
             is_changing: Cell::new(false),
             drain_acknowledged: Cell::new(None),
             faults: RefCell::default(),
+            slots: Cell::new(SLOTS),
             sick: RefCell::default(),
             kept: client::Kept::default(),
         }
     }
 
+    pub(super) fn restore_slots(&self) {
+        self.slots.set(SLOTS);
+    }
+
     /// Records that the server is not sound for some time.
     pub(super) fn ail(&self, span: Span) {
         let now = Clock.now();
@@ -297,7 +307,7 @@
         id: &id,
         identity: &machine.identity,
         server: machine.addresses.server,
-        slots: SLOTS,
+        slots: server.slots.get(),
         state,
         sequence: server.sequence.get(),
         born: server.born.get(),
@@ -341,12 +351,17 @@
         Act::Answer(self.status, self.headers, self.body)
     }
 
+    /// The fields of the head but those of its framing.
+    fn fields(&self) -> String {
+        let fields = self.headers.iter();
+        fields
+            .map(|(name, value)| format!("{name}: {value}\r\n"))
+            .collect()
+    }
+
     /// The head as it is written.
     fn head(&self, framing: Framing) -> String {
-        let mut text = format!("HTTP/1.1 {} Status\r\n", self.status);
-        for (name, value) in &self.headers {
-            text.push_str(&format!("{name}: {value}\r\n"));
-        }
+        let mut text = format!("HTTP/1.1 {} Status\r\n{}", self.status, self.fields());
         match framing {
             Framing::Length => {
                 text.push_str(&format!("content-length: {}\r\n", self.body.len()));
@@ -468,7 +483,15 @@
     /// Works on a request, and returns what it is answered.
     async fn run(self: Rc<Self>, seen: Seen, arrival: usize) -> Act {
         let faults = self.faults();
-        let work = self.world.draw(WORK_MS) * faults.slow.max(1);
+        let endless = faults
+            .endless
+            .filter(|(share, _)| self.world.chance(*share));
+        if let Some((_, endless)) = endless {
+            let answer = self.seal(&seen, arrival, 200);
+            return endless.act(&answer.fields(), &answer.body);
+        }
+        let [least, most] = Route::of(&seen.target).map_or([0, 0], |route| route.work_ms);
+        let work = self.world.draw(least..most + 1) * faults.slow.max(1);
         pause(Span::from_ms(work)).await;
         let mut status = match self.world.chance(FAILURE_SHARE) {
             true => 500,
@@ -477,25 +500,30 @@
         if !self.call(&seen).await {
             status = 500;
         }
-        let id = self.id_of(&seen).to_owned();
-        let body = answer_body(&id);
-        let names = self.world.dialect.names();
-        let mut headers = self.echo(&seen);
-        let seal = format!("{}.{status}.{}", self.number, body.len());
-        headers.push((names.seal.unwrap_or_default(), seal));
-        self.world.record().set_status(&id, arrival, status);
+        let answer = self.seal(&seen, arrival, status);
         if self.world.chance(faults.lose) {
             return match faults.reset {
                 true => Act::Close(true),
                 false => Act::Silence,
             };
         }
-        let answer = Answer {
+        self.spoil(&seen, &faults, answer)
+    }
+
+    /// Makes the answer to a request that has run.
+    fn seal(&self, seen: &Seen, arrival: usize, status: u16) -> Answer {
+        let id = self.id_of(seen).to_owned();
+        let body = answer_body(&id);
+        let names = self.world.dialect.names();
+        let mut headers = self.echo(seen);
+        let seal = format!("{}.{status}.{}", self.number, body.len());
+        headers.push((names.seal.unwrap_or_default(), seal));
+        self.world.record().set_status(&id, arrival, status);
+        Answer {
             status,
             headers,
             body,
-        };
-        self.spoil(&seen, &faults, answer)
+        }
     }
 
     /// Makes the calls that a request needs, and returns whether all succeeded.
@@ -503,7 +531,7 @@
         let calls: &[(&str, f64)] = match Route::of(&seen.target).map(|route| route.name) {
             Some("view" | "upload") => &[("check", 1.0)],
             Some("order") => &[("reserve", 0.5), ("check", 0.5)],
-            Some("ship" | "move") => &[("reserve", 0.3)],
+            Some("ship" | "move" | "build" | "tour") => &[("reserve", 0.3)],
             _ => &[],
         };
         let left = self.world.dialect.names().left;
