Soak: rejections at planned stops echo the id of their request

CUT named requests that no server had run and that were answered 502 within 20 ms: the called server had rejected them without an id, which a node cannot attribute, so that 502 is right. Servers that reject at planned stops always echo the id now; those of the other faults go on leaving it out.

--- a/src/soak/planned.rs
+++ b/src/soak/planned.rs
@@ -61,7 +61,12 @@
         match self {
             Self::Enough => {}
             Self::Few => server.slots.set(FEW_SLOTS),
-            Self::Shedding => server.faults.borrow_mut().shed = SHED_SHARE,
+            // A node cannot tell which request a rejection without an id belongs to.
+            Self::Shedding => {
+                let mut faults = server.faults.borrow_mut();
+                faults.shed = SHED_SHARE;
+                faults.named = true;
+            }
         }
     }
 
@@ -70,7 +75,9 @@
         match self {
             Self::Enough => {}
             Self::Few => server.restore_slots(),
-            Self::Shedding => server.faults.borrow_mut().shed = 0.0,
+            Self::Shedding => {
+                server.faults.take();
+            }
         }
     }
 }
--- a/src/soak/server.rs
+++ b/src/soak/server.rs
@@ -115,6 +115,8 @@
 pub(super) struct Faults {
     /// Share of requests that it rejects.
     pub(super) shed: f64,
+    /// Whether all its rejections echo the id.
+    pub(super) named: bool,
     /// Whether it rejects uploads before they are in.
     pub(super) early: bool,
     /// Share of answers that it spoils, and how.
@@ -466,7 +468,8 @@
     fn reject(&self, seen: &Seen, faults: &Faults) -> Act {
         self.arrive(seen, false);
         let names = self.world.dialect.names();
-        let mut headers = match self.world.chance(NAMELESS_SHARE) {
+        let is_nameless = !faults.named && self.world.chance(NAMELESS_SHARE);
+        let mut headers = match is_nameless {
             true => Vec::new(),
             false => self.echo(seen),
         };
