Log: bound the bytes of queued lines

A reader of standard output that stands still left up to 4,096 lines in memory, of any length: callers without a key could fill it with the paths of refused requests.

The new test, run on the code before, failed: after 900 refused requests with paths of 30,000 bytes the process had grown by 26,972 KiB, 8,192 allowed.

Queued and unwritten lines now take at most 1 MiB together; a line that does not fit is dropped and counted, as one beyond the number of lines was.

--- a/src/process/log.rs
+++ b/src/process/log.rs
@@ -13,6 +13,7 @@
         Mutex,
         atomic::{
             AtomicU64,
+            AtomicUsize,
             Ordering, //
         },
         mpsc,
@@ -91,6 +92,8 @@
 /// Capacity of the queue of lines to be written. If the reader of standard output
 /// falls further behind, lines are dropped and counted; logging never blocks.
 const QUEUE_CAPACITY: usize = 4096;
+/// Maximum number of bytes of all queued lines, for a reader that stands still.
+const MAX_QUEUED_BYTES: usize = 1 << 20;
 /// Interval between batched writes. Writing each line by itself would wake the
 /// process for every line.
 const WRITE_INTERVAL: Span = Span::from_ms(50);
@@ -108,6 +111,9 @@
 /// Number of lines that are queued or being written.
 static UNWRITTEN: AtomicU64 = AtomicU64::new(0);
 
+/// Number of bytes of the lines that are queued or being written.
+static UNWRITTEN_BYTES: AtomicUsize = AtomicUsize::new(0);
+
 /// Maximum time that [`flush`] waits.
 const FLUSH_TIMEOUT: Span = Span::from_ms(300);
 
@@ -183,8 +189,11 @@
 impl Write for QueueWriter {
     fn write(&mut self, line: &[u8]) -> std::io::Result<usize> {
         UNWRITTEN.fetch_add(1, Ordering::Relaxed);
-        if self.0.try_send(line.to_vec()).is_err() {
+        let others = UNWRITTEN_BYTES.fetch_add(line.len(), Ordering::Relaxed);
+        let fits = others + line.len() <= MAX_QUEUED_BYTES;
+        if !fits || self.0.try_send(line.to_vec()).is_err() {
             UNWRITTEN.fetch_sub(1, Ordering::Relaxed);
+            UNWRITTEN_BYTES.fetch_sub(line.len(), Ordering::Relaxed);
             DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
         }
         Ok(line.len())
@@ -210,6 +219,7 @@
         }
         let written = output.write_all(&batch).and_then(|()| output.flush());
         UNWRITTEN.fetch_sub(count, Ordering::Relaxed);
+        UNWRITTEN_BYTES.fetch_sub(batch.len(), Ordering::Relaxed);
         if written.is_err() {
             return;
         }
--- a/tests/start.rs
+++ b/tests/start.rs
@@ -18,3 +18,5 @@
 mod socket;
 #[path = "start/successor.rs"]
 mod successor;
+#[path = "start/unread_log.rs"]
+mod unread_log;
