--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -22,6 +22,8 @@
 mod names;
 #[path = "platform/odd_rows.rs"]
 mod odd_rows;
+#[path = "platform/pages.rs"]
+mod pages;
 #[path = "platform/path.rs"]
 mod path;
 #[path = "support/received.rs"]
