Memory: callers and the upstream have accounts, and what holds most pays

Nothing bounded what a process holds for others: 3,000 caller connections could each keep a head of 128 KiB in the codec, a buffered body, a window of 256 KiB and 128 KiB that a slow reader does not take, and each upstream connection 1 MiB of an answer to another request.

Accounts of the budget: each Inlet (request and answer side), the input and the output of a caller's connection, the head and buffered body of a call that are kept for retries (given back with the answer), a streamed upload, the read buffer of an exchange with its head, stray answers and buffered answer, the request that is written to the upstream. Over the budget: 503 "not run", new code 2021, for what was not passed on; 502, new code 3014, for what was; an answer that is being relayed is cut.

An unfinished head may exceed the limit on headers by 8 KiB. The buffer of an idle connection shrinks to 8 KiB, and at most 64 KiB are reserved for a body that a head announces. Requests are written to the upstream in parts of 64 KiB.

Not run: the other test files, and what the accounts cost in processor time.

--- a/src/code.rs
+++ b/src/code.rs
@@ -126,6 +126,8 @@
     Evacuated = 2019, 503, NotRun, 1, "the failure domain of the upstream is evacuated";
     /// The upstream names a limit and takes no more requests in time.
     UpstreamLimited = 2020, 503, NotRun, 1, "the upstream takes no more requests now";
+    /// The node may not hold more for its callers now.
+    MemoryShort = 2021, 503, NotRun, 1, "the node is short of memory";
     /// The link broke after the request was sent.
     LinkLost = 3001, 502, Unknown, 0, "the connection to the instance broke";
     /// The deadline passed while it ran.
@@ -153,4 +155,6 @@
     StatusUnproven = 3012, 502, Unknown, 0, "the upstream answered with a status that does not show whether the request ran";
     /// The node met a fault of its own while it handled the request.
     NodeFault = 3013, 502, Unknown, 0, "the node met a fault of its own";
+    /// The node ran short of memory while it handled the request.
+    MemoryExceeded = 3014, 502, Unknown, 0, "the node ran short of memory while it handled the request";
 }
--- a/src/connection/body.rs
+++ b/src/connection/body.rs
@@ -8,10 +8,14 @@
 use std::{
     cell::{
         Cell,
+        OnceCell,
         RefCell, //
     },
     collections::VecDeque,
-    rc::Rc,
+    rc::{
+        Rc,
+        Weak, //
+    },
     task::{
         Context,
         Poll,
@@ -22,6 +26,12 @@
 use bytes::Bytes;
 use xxhash_rust::xxh3::Xxh3Default;
 
+use crate::memory::{
+    Account,
+    Budget,
+    Owner, //
+};
+
 /// Flow control window: bytes of one body that may be in flight over one hop.
 pub const WINDOW: usize = 256 << 10;
 
@@ -29,8 +39,11 @@
 pub(crate) const MAX_CHUNK: usize = 64 << 10;
 
 /// Chunks below this size are copied. A larger one may be a part of a read buffer, which
-/// is at most four times as large.
-pub(crate) const MIN_SHARED_CHUNK: usize = 8 << 10;
+/// is at most [`READ_BUFFER`] bytes long.
+pub(crate) const MIN_SHARED_CHUNK: usize = READ_BUFFER / 4;
+
+/// The size of a read buffer for bodies, in bytes.
+pub(crate) const READ_BUFFER: usize = 32 << 10;
 
 /// Consumed bytes after which the receiver grants credit again. Smaller grants
 /// aren't worth a frame.
@@ -57,6 +70,16 @@
     merged: Vec<u8>,
     /// Bytes in the queue.
     len: usize,
+    /// Capacity that `chunks` keeps alive.
+    kept: usize,
+}
+
+/// The capacity that a chunk may keep alive: that of a whole read buffer.
+pub(crate) fn kept_capacity(chunk: &Bytes) -> usize {
+    match chunk.len() {
+        length @ ..MIN_SHARED_CHUNK => length,
+        length => length.max(READ_BUFFER),
+    }
 }
 
 impl Chunks {
@@ -69,14 +92,19 @@
             self.close_merged();
         }
         if chunk.len() >= MIN_SHARED_CHUNK {
-            self.chunks.push_back(chunk);
+            self.append(chunk);
         }
     }
 
+    fn append(&mut self, chunk: Bytes) {
+        self.kept += kept_capacity(&chunk);
+        self.chunks.push_back(chunk);
+    }
+
     fn close_merged(&mut self) {
         if !self.merged.is_empty() {
             let merged = std::mem::take(&mut self.merged);
-            self.chunks.push_back(merged.into());
+            self.append(merged.into());
         }
     }
 
@@ -86,9 +114,15 @@
         }
         let chunk = self.chunks.pop_front()?;
         self.len -= chunk.len();
+        self.kept -= kept_capacity(&chunk);
         Some(chunk)
     }
 
+    /// Capacity that the queue keeps alive, in bytes.
+    pub(crate) fn capacity(&self) -> usize {
+        self.kept + self.merged.capacity()
+    }
+
     /// Bytes in the queue.
     pub(crate) fn len(&self) -> usize {
         self.len
@@ -104,20 +138,68 @@
     waker: RefCell<Option<Waker>>,
     /// Called with the number of further bytes that the sender may send.
     grant: Box<dyn Fn(u32)>,
+    memory: Option<(Budget, Owner)>,
+    /// Opened with the first chunk.
+    account: OnceCell<Account>,
+    weak: Weak<Self>,
 }
 
 impl Inlet {
+    /// Creates an inlet that takes no memory from a budget.
     pub(crate) fn new(grant: impl Fn(u32) + 'static) -> Rc<Self> {
-        Rc::new(Self {
+        Self::create(None, grant)
+    }
+
+    /// Creates an inlet for what an owner sends. It is cut if it has to be evicted from
+    /// the budget.
+    pub(crate) fn within(budget: &Budget, owner: Owner, grant: impl Fn(u32) + 'static) -> Rc<Self> {
+        Self::create(Some((budget.clone(), owner)), grant)
+    }
+
+    fn create(memory: Option<(Budget, Owner)>, grant: impl Fn(u32) + 'static) -> Rc<Self> {
+        Rc::new_cyclic(|weak| Self {
             chunks: RefCell::default(),
             consumed: Cell::new(0),
             state: Cell::new(State::Open),
             hasher: RefCell::new(Xxh3Default::new()),
             waker: RefCell::default(),
             grant: Box::new(grant),
+            memory,
+            account: OnceCell::new(),
+            weak: weak.clone(),
         })
     }
 
+    /// Reports what the queue holds to the budget.
+    fn report(&self) {
+        let capacity = self.chunks.borrow().capacity();
+        if let Some(account) = self.account.get() {
+            account.set(capacity);
+        } else if let Some((budget, owner)) = &self.memory {
+            let account = self.account.get_or_init(|| budget.open(*owner));
+            let weak = self.weak.clone();
+            account.on_eviction(move || {
+                if let Some(inlet) = weak.upgrade() {
+                    inlet.evict();
+                }
+            });
+            account.set(capacity);
+        }
+    }
+
+    /// Drops what is queued and cuts the body.
+    fn evict(&self) {
+        drop(self.chunks.take());
+        self.state.set(State::Cut);
+        self.report();
+        self.wake();
+    }
+
+    /// Whether the body was cut because the memory for it ran short.
+    pub(crate) fn is_evicted(&self) -> bool {
+        self.account.get().is_some_and(Account::is_evicted)
+    }
+
     /// Queues a chunk. If the sender exceeds the window, the body is cut, as it
     /// could otherwise exhaust memory.
     pub(crate) fn push(&self, bytes: Bytes) {
@@ -129,6 +211,7 @@
         }
         self.hasher.borrow_mut().update(&bytes);
         self.chunks.borrow_mut().push(bytes);
+        self.report();
         self.wake();
     }
 
@@ -157,6 +240,11 @@
         self.state.get() == State::Complete
     }
 
+    /// Whether the body is complete and no chunk is queued any more.
+    pub(crate) fn is_drained(&self) -> bool {
+        self.is_whole() && self.chunks.borrow().len() == 0
+    }
+
     /// Whether the body is neither complete nor cut.
     pub(crate) fn is_open(&self) -> bool {
         self.state.get() == State::Open
@@ -177,6 +265,7 @@
     /// bytes have been consumed.
     pub(crate) fn pop(&self) -> Option<Bytes> {
         let bytes = self.chunks.borrow_mut().pop()?;
+        self.report();
         let consumed = self.consumed.get() + bytes.len();
         let due = consumed >= GRANT_THRESHOLD && self.state.get() == State::Open;
         self.consumed.set(if due { 0 } else { consumed });
--- a/src/connection/caller.rs
+++ b/src/connection/caller.rs
@@ -52,6 +52,10 @@
     event::RequestName,
     frame::Head,
     id,
+    memory::{
+        Account,
+        Owner, //
+    },
     metric::Counter,
     node::{
         Call,
@@ -203,13 +207,21 @@
         Some(_) => limit,
         None => DEFAULT_BUFFER_LIMIT.min(limit),
     };
+    let account = carrier.memory.open(Owner::Callers);
     let source = match declared_length {
         Some(length) if length > buffer_limit => Source::Stream {
             prefix: Bytes::new(),
             rest: Some(payload),
             limit,
         },
-        _ => buffer_body(payload, buffer_limit, limit, limits.body_time).await?,
+        _ => {
+            let limits = BodyLimits {
+                buffered: buffer_limit,
+                total: limit,
+                chunk_time: limits.body_time,
+            };
+            buffer_body(payload, &limits, &account).await?
+        }
     };
     let buffered = match &source {
         Source::Buffered(bytes) => {
@@ -241,10 +253,24 @@
         left: None,
         connection: id::Connection::default(),
     };
-    let pending = Pending::new(Clock.now(), reply, head, source, names);
+    if !account.add(head.capacity()) {
+        return Err(Code::MemoryShort);
+    }
+    let mut pending = Pending::new(Clock.now(), reply, head, source, names);
+    carrier.refuse_on_eviction(&account, call);
+    pending.account = Some(account);
     let guard = carrier.begin(call, pending);
     carrier.on(Event::Call(event));
     match reply_receiver.await {
+        Ok(Reply::Answer(_, inlet)) if inlet.is_evicted() => {
+            guard.set_written();
+            carrier.count(Counter::Refused(Code::MemoryExceeded));
+            Ok(refusal_response(
+                Code::MemoryExceeded,
+                None,
+                buffered.is_some(),
+            ))
+        }
         Ok(Reply::Answer(head, inlet)) => Ok(build_response(&head, is_head, inlet, guard)),
         Ok(Reply::Refuse(code, wait)) => {
             guard.set_written();
@@ -326,29 +352,47 @@
     id::Digest(sum.digest())
 }
 
-/// Reads a body until its end, or until it exceeds `buffer_limit`. In that case
-/// the rest is streamed.
+/// Limits on a body.
+struct BodyLimits {
+    /// Maximum length of the part that is buffered.
+    buffered: u64,
+    /// Maximum length.
+    total: u64,
+    /// Maximum time for the next chunk.
+    chunk_time: Span,
+}
+
+/// Reads a body until its end, or until it exceeds the limit for what is buffered. In
+/// that case the rest is streamed.
 async fn buffer_body(
     mut payload: Payload,
-    buffer_limit: u64,
-    limit: u64,
-    chunk_timeout: Span,
+    limits: &BodyLimits,
+    account: &Account,
 ) -> Result<Source, Code> {
     let mut buffered = BytesMut::new();
     loop {
-        let next = tokio::time::timeout(chunk_timeout.to_std(), payload.next());
-        match next.await.map_err(|_| Code::CallerSlow)? {
+        let chunk = tokio::select! {
+            biased;
+            () = account.evicted() => return Err(Code::MemoryShort),
+            next = tokio::time::timeout(limits.chunk_time.to_std(), payload.next()) => {
+                next.map_err(|_| Code::CallerSlow)?
+            }
+        };
+        match chunk {
             None => return Ok(Source::Buffered(buffered.freeze())),
             Some(chunk) => buffered.extend_from_slice(&chunk.map_err(|_| Code::Malformed)?),
         }
-        if buffered.len() as u64 > limit {
+        if buffered.len() as u64 > limits.total {
             return Err(Code::BodyTooLarge);
         }
-        if buffered.len() as u64 > buffer_limit {
+        if !account.set(buffered.capacity()) {
+            return Err(Code::MemoryShort);
+        }
+        if buffered.len() as u64 > limits.buffered {
             return Ok(Source::Stream {
                 prefix: buffered.freeze(),
                 rest: Some(payload),
-                limit,
+                limit: limits.total,
             });
         }
     }
--- a/src/connection/door.rs
+++ b/src/connection/door.rs
@@ -16,7 +16,10 @@
         RefCell, //
     },
     collections::VecDeque,
-    rc::Rc,
+    rc::{
+        Rc,
+        Weak, //
+    },
     time::Duration,
 };
 
@@ -57,7 +60,9 @@
 use super::{
     body::{
         Cut,
-        Inlet, //
+        Inlet,
+        MIN_SHARED_CHUNK,
+        kept_capacity, //
     },
     caller,
     header,
@@ -73,6 +78,10 @@
     code::Code,
     frame::Head,
     id,
+    memory::{
+        Account,
+        Owner, //
+    },
     metric::{
         ConnectionEnd,
         Counter, //
@@ -106,6 +115,13 @@
 /// idle connections larger buffers would take most of a node's memory.
 const BODY_READ_BUFFER: usize = 16 << 10;
 const HEAD_READ_BUFFER: usize = 2 << 10;
+/// The largest buffer in bytes that an idle connection keeps.
+const MAX_IDLE_BUFFER: usize = 4 * HEAD_READ_BUFFER;
+/// Bytes of a request line, and of the delimiters of the headers. An unfinished head may
+/// be longer than the limit on headers by this much.
+const MAX_REQUEST_LINE: u64 = 8 << 10;
+/// The largest buffer in bytes that is reserved for a body which a head announces.
+const MAX_EXPECTED_BODY: u64 = 64 << 10;
 /// Bytes of a response that are collected before a write.
 const WRITE_BUFFER: usize = 64 << 10;
 /// How long a closing connection is kept open for the caller to receive the last
@@ -152,6 +168,10 @@
     /// accepted.
     idle_since: Cell<Time>,
     progress: Rc<Progress>,
+    /// Memory of the input and of the body that is being buffered.
+    input: Account,
+    /// Memory of the response that is being written.
+    output: Account,
 }
 
 impl ConnectionState {
@@ -200,6 +220,8 @@
 ) {
     let shared = ConnectionState {
         progress: Progress::new(id::Connection(carrier.next_number())),
+        input: carrier.memory.open(Owner::Callers),
+        output: carrier.memory.open(Owner::Upstream),
         carrier,
         queue: RefCell::default(),
         queue_grown: Notify::new(),
@@ -259,6 +281,9 @@
     /// The body so far, until it exceeds `buffer_limit` and is streamed.
     buffered: BytesMut,
     body_sender: Option<BodySender>,
+    /// Memory of the part of a streamed body that the node has not sent on. Its receiver
+    /// owns the account.
+    streamed: Weak<Account>,
     buffer_limit: u64,
     body_limit: u64,
     /// Bytes of the body received so far.
@@ -353,6 +378,7 @@
                 let refusal = process_message(shared, &mut self.incoming, message).await;
                 refusal.map_or(Decoded::Message, Decoded::Refused)
             }
+            Ok(None) if self.is_head_too_large(shared) => Decoded::Refused(Code::HeadersTooLarge),
             Ok(None) => Decoded::Incomplete,
             Err(_) => Decoded::Refused(Code::Malformed),
         }
@@ -373,11 +399,39 @@
             .then(|| shared.idle_since.get() + limits.idle)
     }
 
-    fn reserve(&mut self) {
+    /// Whether an unfinished head is longer than one that would be accepted.
+    fn is_head_too_large(&self, shared: &ConnectionState) -> bool {
+        let limit = shared.carrier.caller_limits().headers.as_u64() + MAX_REQUEST_LINE;
+        self.incoming.is_none() && self.input.len() as u64 > limit
+    }
+
+    /// Makes room for the next read. Returns whether the connection may hold so much.
+    fn reserve(&mut self, shared: &ConnectionState) -> bool {
+        if self.input.is_empty()
+            && self.incoming.is_none()
+            && self.input.capacity() > MAX_IDLE_BUFFER
+        {
+            self.input = BytesMut::new();
+        }
         self.input.reserve(match self.incoming {
             Some(_) => BODY_READ_BUFFER,
             None => HEAD_READ_BUFFER,
         });
+        let buffered = self.incoming.as_ref();
+        let buffered = buffered.map_or(0, |incoming| incoming.buffered.capacity());
+        shared.input.set(self.input.capacity() + buffered)
+    }
+
+    /// Refuses the request that has arrived in part, and releases what was read.
+    fn give_up(&mut self, shared: &ConnectionState) {
+        self.input = BytesMut::new();
+        shared.accepting.set(false);
+        if !self.is_empty() {
+            self.head_started = None;
+            fail_request(shared, self.incoming.take(), Code::MemoryShort);
+        }
+        shared.receiving.set(false);
+        shared.input.set(0);
     }
 
     /// Refuses the request whose rest did not arrive in time.
@@ -396,6 +450,7 @@
 ) -> ReadEnd {
     let mut closing = std::pin::pin!(closing);
     let mut closed = false;
+    let mut given_up = false;
     let mut received = Received::new();
     loop {
         received.decode(shared).await;
@@ -406,8 +461,13 @@
         let until = received.deadline(shared);
         let wait = until.map(|until| Clock.now().until(until).to_std());
         let can_read = received.can_read(shared);
-        received.reserve();
+        if !received.reserve(shared) && !given_up {
+            given_up = true;
+            received.give_up(shared);
+            continue;
+        }
         tokio::select! {
+            () = shared.input.evicted(), if !given_up => {}
             count = reader.read_buf(&mut received.input), if can_read => match count {
                 Ok(1..) => {}
                 _ => return ReadEnd::Disconnected,
@@ -482,28 +542,39 @@
             }
             match &mut body.body_sender {
                 Some(body_sender) => {
+                    let bytes = match bytes.len() {
+                        ..MIN_SHARED_CHUNK => Bytes::copy_from_slice(&bytes),
+                        _ => bytes,
+                    };
+                    if let Some(account) = body.streamed.upgrade() {
+                        account.add(kept_capacity(&bytes));
+                    }
                     let _ = body_sender.send(Some(bytes)).await;
                 }
                 None => body.buffered.extend_from_slice(&bytes),
             }
             if body.body_sender.is_none() && body.received > body.buffer_limit {
+                let account = Rc::new(shared.carrier.memory.open(Owner::Callers));
+                let prefix = std::mem::take(&mut body.buffered);
+                if !account.set(prefix.capacity()) {
+                    return Some(Code::MemoryShort);
+                }
                 let (body_sender, chunks) = mpsc::channel(BODY_CHANNEL_CAPACITY);
                 body.body_sender = Some(body_sender);
-                let chunks = stream::unfold(Some(chunks), async |chunks| {
-                    let mut chunks = chunks?;
-                    match chunks.recv().await {
-                        Some(Some(chunk)) => Some((Ok(chunk), Some(chunks))),
-                        Some(None) => None,
-                        None => Some((Err(PayloadError::Incomplete(None)), None)),
-                    }
-                });
-                let payload: BoxedPayloadStream = Box::pin(chunks);
+                body.streamed = Rc::downgrade(&account);
+                let payload = stream_body(chunks, account.clone(), prefix.capacity());
                 let source = Source::Stream {
-                    prefix: body.buffered.split().freeze(),
+                    prefix: prefix.freeze(),
                     rest: Some(payload.into()),
                     limit: body.body_limit,
                 };
-                return dispatch(shared, &body.request, source).err();
+                return match dispatch(shared, &body.request, source) {
+                    Ok(call) => {
+                        shared.carrier.refuse_on_eviction(&account, call);
+                        None
+                    }
+                    Err(code) => Some(code),
+                };
             }
         }
         h1::Message::Chunk(None) => {
@@ -522,6 +593,31 @@
     None
 }
 
+/// Returns the rest of a body, whose first part is released when the rest is asked for.
+fn stream_body(
+    chunks: mpsc::Receiver<Option<Bytes>>,
+    account: Rc<Account>,
+    prefix: usize,
+) -> BoxedPayloadStream {
+    let first = (chunks, prefix);
+    Box::pin(stream::unfold(Some(first), move |state| {
+        let account = account.clone();
+        async move {
+            // A chunk is asked for when the one before has been sent on.
+            let (mut chunks, previous) = state?;
+            account.sub(previous);
+            match chunks.recv().await {
+                Some(Some(chunk)) => {
+                    let kept = kept_capacity(&chunk);
+                    Some((Ok(chunk), Some((chunks, kept))))
+                }
+                Some(None) => None,
+                None => Some((Err(PayloadError::Incomplete(None)), None)),
+            }
+        }
+    }))
+}
+
 /// Validates a request head. A request without a body is dispatched at once; for
 /// any other, returns the state for receiving its body.
 fn receive_head(shared: &ConnectionState, request: Request) -> Result<Option<Incoming>, Code> {
@@ -558,9 +654,12 @@
         });
     }
     let buffer_limit = carrier.interface.max_buffered_body.as_u64().min(body_limit);
+    let expected = declared_length.unwrap_or(0).min(buffer_limit);
+    let expected = expected.min(MAX_EXPECTED_BODY);
     Ok(Some(Incoming {
-        buffered: BytesMut::with_capacity(declared_length.unwrap_or(0).min(buffer_limit) as usize),
+        buffered: BytesMut::with_capacity(expected as usize),
         body_sender: None,
+        streamed: Weak::new(),
         buffer_limit,
         body_limit,
         received: 0,
@@ -569,7 +668,7 @@
 }
 
 /// Registers a request and passes it to the node.
-fn dispatch(shared: &ConnectionState, request: &Request, source: Source) -> Result<(), Code> {
+fn dispatch(shared: &ConnectionState, request: &Request, source: Source) -> Result<id::Call, Code> {
     let carrier = &shared.carrier;
     let names = &carrier.interface.names;
     let host = caller::host(request)?;
@@ -590,6 +689,7 @@
     let buffered_length = buffered.map(|bytes| bytes.len() as u64);
     head.length = buffered_length.or(head.length);
     let call = carrier.next_call();
+    let account = open_account(carrier, call, &head, &source)?;
     let event = Call {
         call,
         origin: Origin::Caller(key),
@@ -606,6 +706,7 @@
     let (reply, reply_receiver) = oneshot::channel();
     let mut pending = Pending::new(Clock.now(), reply, head, source, names);
     pending.position = Some(shared.progress.arrive());
+    pending.account = Some(account);
     let guard = carrier.begin(call, pending);
     shared.push(Exchange {
         reply: ReplySource::Dispatched(reply_receiver),
@@ -616,7 +717,26 @@
         shared.accepting.set(false);
     }
     carrier.on(Event::Call(event));
-    Ok(())
+    Ok(call)
+}
+
+/// Opens an account for the head and a buffered body, which are kept for retries.
+fn open_account(
+    carrier: &Carrier,
+    call: id::Call,
+    head: &Head,
+    source: &Source,
+) -> Result<Account, Code> {
+    let body = match source {
+        Source::Buffered(body) => body.len(),
+        Source::Stream { .. } => 0,
+    };
+    let account = carrier.memory.open(Owner::Callers);
+    if !account.set(head.capacity() + body) {
+        return Err(Code::MemoryShort);
+    }
+    carrier.refuse_on_eviction(&account, call);
+    Ok(account)
 }
 
 /// Writes the responses in request order until the connection has to be closed.
@@ -709,6 +829,15 @@
             refusal::write(&mut output, code, status, wait, exchange.is_head, close);
             write_bytes(shared, writer, &output).await?;
         }
+        // No part of the answer was relayed.
+        Reply::Answer(_, inlet) if inlet.is_evicted() => {
+            let code = Code::MemoryExceeded;
+            carrier.count(Counter::Refused(code));
+            let mut output = BytesMut::with_capacity(512);
+            let status = (carrier.interface.status)(code);
+            refusal::write(&mut output, code, status, None, exchange.is_head, close);
+            write_bytes(shared, writer, &output).await?;
+        }
         Reply::Answer(head, inlet) => {
             let cut = write_response(shared, writer, &head, &inlet, exchange.is_head, close).await;
             if let (Err(_), Some(guard)) = (&cut, &exchange.guard) {
@@ -730,6 +859,20 @@
     written.map_err(|_| ConnectionEnd::CallerGone)
 }
 
+/// Writes a part of a response, unless the memory for it runs short.
+async fn write_output(
+    shared: &ConnectionState,
+    writer: &mut WriteHalf<'_>,
+    output: &BytesMut,
+) -> Result<(), ConnectionEnd> {
+    shared.output.set(output.capacity());
+    tokio::select! {
+        biased;
+        () = shared.output.evicted() => Err(ConnectionEnd::Cut),
+        written = write_bytes(shared, writer, output) => written,
+    }
+}
+
 /// Writes an upstream's response. A truncated one ends without its last chunk or
 /// short of its content length, so the caller cannot take it for complete.
 async fn write_response(
@@ -758,14 +901,16 @@
         }
         // A body that is already complete is written together with its end.
         if !inlet.is_whole() || output.len() >= WRITE_BUFFER {
-            write_bytes(shared, writer, &output).await?;
+            write_output(shared, writer, &output).await?;
             output.clear();
         }
     }
     if chunked {
         output.extend_from_slice(b"0\r\n\r\n");
     }
-    write_bytes(shared, writer, &output).await
+    let written = write_output(shared, writer, &output).await;
+    shared.output.set(0);
+    written
 }
 
 fn push_chunk(output: &mut BytesMut, chunk: &[u8], chunked: bool) {
--- a/src/connection/frame.rs
+++ b/src/connection/frame.rs
@@ -50,6 +50,16 @@
     pub length: Option<u64>,
 }
 
+impl Head {
+    /// Bytes that the head occupies.
+    pub(crate) fn capacity(&self) -> usize {
+        let entry = size_of::<(String, Bytes)>();
+        let of_header = |(name, value): &(String, Bytes)| [entry, name.len(), value.len()];
+        let headers = self.headers.iter().flat_map(of_header);
+        headers.chain([self.method.len(), self.target.len()]).sum()
+    }
+}
+
 /// An answer with its complete body, as stored in the records of idempotent
 /// requests.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/connection/upstream.rs
+++ b/src/connection/upstream.rs
@@ -31,6 +31,7 @@
     },
 };
 use bytes::{
+    Buf,
     Bytes,
     BytesMut, //
 };
@@ -56,7 +57,8 @@
     body::{
         Cut,
         Inlet,
-        MIN_SHARED_CHUNK, //
+        MIN_SHARED_CHUNK,
+        READ_BUFFER, //
     },
     header::{
         self,
@@ -73,6 +75,11 @@
     },
     frame::Head,
     inbound::End,
+    memory::{
+        Account,
+        Budget,
+        Owner, //
+    },
     metric::{
         Counter,
         Counts, //
@@ -105,8 +112,8 @@
 /// idle connection is reused. The rest is a margin for requests in flight.
 const KEEP_ALIVE_FRACTION: f64 = 0.6;
 
-/// Read buffer space reserved before each read, in bytes.
-const READ_BUFFER: usize = 32 << 10;
+/// Bytes of a request body that are collected before a write.
+const WRITE_BUFFER: usize = 64 << 10;
 
 /// The pool of connections to one upstream.
 pub(crate) struct Pool {
@@ -119,6 +126,7 @@
     allow_close_delimited: bool,
     idle: IdleConnections,
     counts: RefCell<Counts>,
+    memory: Budget,
     /// Start of the last check whether the upstream had ended, and its result.
     last_check: Mutex<Option<(Time, bool)>>,
 }
@@ -137,10 +145,20 @@
     body: Option<Body>,
 }
 
+impl Answer {
+    /// Reports the capacity of the content that is kept until it is relayed.
+    pub(crate) fn set_kept(&mut self, bytes: usize) {
+        if let Some(body) = &mut self.body {
+            body.input.kept = bytes;
+            body.input.report();
+        }
+    }
+}
+
 struct Body {
     connection: Connection,
     framing: Framing,
-    input: BytesMut,
+    input: Input,
     /// Bytes of the content so far.
     content_bytes: u64,
     /// Bytes of chunk sizes, their extensions and trailers so far.
@@ -173,6 +191,7 @@
         idle_timeout: Span,
         names: Names,
         allow_close_delimited: bool,
+        memory: Budget,
     ) -> Self {
         Self {
             address,
@@ -181,6 +200,7 @@
             allow_close_delimited,
             idle: IdleConnections::default(),
             counts: RefCell::default(),
+            memory,
             last_check: Mutex::default(),
         }
     }
@@ -255,10 +275,16 @@
         let mut connection = self.connect(&identity).await.ok_or(End::Refused)?;
         let is_first = connection.record(&identity);
         let method = request.method.clone();
-        let mut input = BytesMut::with_capacity(READ_BUFFER);
+        let mut input = Input {
+            bytes: BytesMut::with_capacity(READ_BUFFER),
+            kept: 0,
+            account: self.memory.open(Owner::Upstream),
+        };
+        let is_bodiless = matches!(size, BodySize::None | BodySize::Sized(0));
+        let sending = (!is_bodiless).then(|| self.memory.open(Owner::Callers));
         let (mut reader, mut writer) = connection.stream.split();
         let (response, sent) = {
-            let write = pin!(write(&mut writer, request, size, &body));
+            let write = pin!(write(&mut writer, request, size, &body, sending.as_ref()));
             let matches = |head: &ResponseHead| self.matches(head, &identity, is_first);
             let read = pin!(self.read_response(&method, &mut reader, &mut input, matches));
             receive_while_sending(write, read).await?
@@ -302,7 +328,7 @@
             body: None,
         };
         if empty {
-            if reuse && input.is_empty() {
+            if reuse && input.bytes.is_empty() {
                 self.idle.store(Clock.now(), connection, idle_timeout);
             }
             return Ok(answer);
@@ -314,7 +340,7 @@
         answer.body = Some(Body {
             connection,
             framing,
-            input: move_to_read_buffer(input),
+            input: input.shrunk(),
             content_bytes: 0,
             framing_bytes: 0,
             is_ended: false,
@@ -362,7 +388,7 @@
         &self,
         method: &Method,
         reader: &mut tokio::net::tcp::ReadHalf<'_>,
-        input: &mut BytesMut,
+        input: &mut Input,
         matches: impl Fn(&ResponseHead) -> Result<bool, Cut>,
     ) -> Result<Response, Cut> {
         for strays in 0..MAX_STRAY_RESPONSES {
@@ -377,10 +403,10 @@
             }
             self.count(Counter::StrayAnswer);
             let length = stray_length(&head).ok_or(Cut)?;
-            while input.len() < length {
+            while input.bytes.len() < length {
                 read_required(reader, input).await?;
             }
-            let _ = input.split_to(length);
+            input.bytes.advance(length);
         }
         Err(Cut)
     }
@@ -432,7 +458,7 @@
             && let Framing::Delimited(codec) = &body.framing
             && body.reuse
             && codec.keep_alive()
-            && body.input.is_empty()
+            && body.input.bytes.is_empty()
         {
             self.idle
                 .store(Clock.now(), body.connection, body.idle_timeout);
@@ -450,17 +476,17 @@
     /// Returns [`Cut`] when it is malformed, or when its framing outweighs it.
     fn decode(&mut self) -> Result<Option<Bytes>, Cut> {
         let Framing::Delimited(codec) = &mut self.framing else {
-            return Ok(take_all(&mut self.input));
+            return Ok(take_all(&mut self.input.bytes));
         };
         let mut merged = Vec::new();
         while !self.is_ended {
-            let unread = self.input.len();
-            let decoded = codec.decode(&mut self.input).map_err(|_| Cut)?;
+            let unread = self.input.bytes.len();
+            let decoded = codec.decode(&mut self.input.bytes).map_err(|_| Cut)?;
             self.is_ended = matches!(decoded, Some(None));
             let chunk = decoded.flatten();
             let length = chunk.as_ref().map_or(0, Bytes::len);
             self.content_bytes += length as u64;
-            self.framing_bytes += (unread - self.input.len() - length) as u64;
+            self.framing_bytes += (unread - self.input.bytes.len() - length) as u64;
             let max_framing = MAX_FRAMING_BYTES + self.content_bytes * MAX_FRAMING_PER_BYTE;
             if self.framing_bytes > max_framing {
                 return Err(Cut);
@@ -499,12 +525,28 @@
     }
 }
 
-/// Returns the input in a buffer of the usual size: that of a long head, or of responses
-/// that were discarded, would be kept by each chunk of the body.
-fn move_to_read_buffer(input: BytesMut) -> BytesMut {
-    let mut moved = BytesMut::with_capacity(input.len().max(READ_BUFFER));
-    moved.extend_from_slice(&input);
-    moved
+/// What was read from a connection and not decoded yet.
+struct Input {
+    bytes: BytesMut,
+    /// Capacity of the content that was decoded and is kept elsewhere.
+    kept: usize,
+    account: Account,
+}
+
+impl Input {
+    /// Moves the input to a buffer of the usual size: that of a long head, or of
+    /// responses that were discarded, would be kept by each chunk of the body.
+    fn shrunk(self) -> Self {
+        let mut bytes = BytesMut::with_capacity(self.bytes.len().max(READ_BUFFER));
+        bytes.extend_from_slice(&self.bytes);
+        let shrunk = Self { bytes, ..self };
+        shrunk.report();
+        shrunk
+    }
+
+    fn report(&self) {
+        self.account.set(self.bytes.capacity() + self.kept);
+    }
 }
 
 fn request(head: &Head) -> Option<(RequestHead, BodySize)> {
@@ -567,6 +609,7 @@
     request: RequestHead,
     size: BodySize,
     body: &Inlet,
+    account: Option<&Account>,
 ) -> Result<(), WriteError> {
     let mut output = BytesMut::with_capacity(1024);
     let mut codec = h1::ClientCodec::default();
@@ -576,32 +619,52 @@
     let head = RequestHeadType::from(request);
     encode(h1::Message::Item((head, size)), &mut output)?;
     // Body data that is already buffered is written together with the head.
-    while let Some(chunk) = body.pop() {
+    while output.len() < WRITE_BUFFER
+        && let Some(chunk) = body.pop()
+    {
         encode(h1::Message::Chunk(Some(chunk)), &mut output)?;
     }
     let empty = matches!(size, BodySize::None | BodySize::Sized(0));
-    while !empty && !body.is_whole() {
-        writer
-            .write_all(&output)
-            .await
-            .map_err(|_| WriteError::Stream)?;
+    while !empty && !body.is_drained() {
+        write_all(writer, &output, account).await?;
         output.clear();
         match body.next().await {
             Some(Ok(chunk)) => encode(h1::Message::Chunk(Some(chunk)), &mut output)?,
             Some(Err(Cut)) => return Err(WriteError::Body),
             None => break,
         }
-        while let Some(chunk) = body.pop() {
+        while output.len() < WRITE_BUFFER
+            && let Some(chunk) = body.pop()
+        {
             encode(h1::Message::Chunk(Some(chunk)), &mut output)?;
         }
     }
     if !empty {
         encode(h1::Message::Chunk(None), &mut output)?;
     }
-    writer
-        .write_all(&output)
-        .await
-        .map_err(|_| WriteError::Stream)
+    write_all(writer, &output, account).await
+}
+
+/// Writes a buffer, unless the memory for it runs short.
+async fn write_all(
+    writer: &mut tokio::net::tcp::WriteHalf<'_>,
+    output: &BytesMut,
+    account: Option<&Account>,
+) -> Result<(), WriteError> {
+    let evicted = async {
+        match account {
+            Some(account) => {
+                account.set(output.capacity());
+                account.evicted().await;
+            }
+            None => std::future::pending().await,
+        }
+    };
+    tokio::select! {
+        biased;
+        () = evicted => Err(WriteError::Body),
+        written = writer.write_all(output) => written.map_err(|_| WriteError::Stream),
+    }
 }
 
 /// Returns a codec for the response to a request with this method.
@@ -619,11 +682,11 @@
 async fn read_head(
     codec: &mut h1::ClientCodec,
     reader: &mut tokio::net::tcp::ReadHalf<'_>,
-    input: &mut BytesMut,
+    input: &mut Input,
 ) -> Result<ResponseHead, Cut> {
     let mut informational = 0;
     while informational <= MAX_INFORMATIONAL_RESPONSES {
-        let head = codec.decode(input).map_err(|_| Cut)?;
+        let head = codec.decode(&mut input.bytes).map_err(|_| Cut)?;
         match head {
             Some(head) if head.status.as_u16() == 101 => return Err(Cut),
             Some(head) if head.status.is_informational() => informational += 1,
@@ -639,7 +702,7 @@
 /// Reads more input and returns its length, which is never zero.
 async fn read_required<R: AsyncReadExt + Unpin>(
     reader: &mut R,
-    input: &mut BytesMut,
+    input: &mut Input,
 ) -> Result<usize, Cut> {
     match read_some(reader, input).await? {
         0 => Err(Cut),
@@ -648,13 +711,18 @@
 }
 
 /// Reads more input and returns its length. Zero is an orderly end of file; a reset
-/// connection is an error.
+/// connection is an error, and so is a shortage of memory.
 async fn read_some<R: AsyncReadExt + Unpin>(
     reader: &mut R,
-    input: &mut BytesMut,
+    input: &mut Input,
 ) -> Result<usize, Cut> {
-    input.reserve(READ_BUFFER);
-    reader.read_buf(input).await.map_err(|_| Cut)
+    input.bytes.reserve(READ_BUFFER);
+    input.report();
+    tokio::select! {
+        biased;
+        () = input.account.evicted() => Err(Cut),
+        count = reader.read_buf(&mut input.bytes) => count.map_err(|_| Cut),
+    }
 }
 
 /// How long an idle connection may be reused: the upstream's keep-alive timeout
--- a/src/process/carrier.rs
+++ b/src/process/carrier.rs
@@ -37,6 +37,7 @@
         Span,
         Time, //
     },
+    code::Code,
     connection::{
         body::{
             Inlet,
@@ -64,7 +65,11 @@
     interface::Interface,
     links::Links,
     member,
-    memory::Budget,
+    memory::{
+        Account,
+        Budget,
+        Owner, //
+    },
     message::Message,
     metric::{
         Counter,
@@ -211,6 +216,7 @@
         socket: UdpSocket,
         store: Option<Rc<dyn store::Store>>,
     ) -> Rc<Self> {
+        let memory = Budget::new(settings.limits.memory);
         Rc::new_cyclic(|weak| Self {
             weak: weak.clone(),
             me,
@@ -239,6 +245,7 @@
                 settings.limits.upstream_idle,
                 interface.names,
                 interface.close_delimited_answers,
+                memory.clone(),
             ),
             socket,
             datagrams: Cell::default(),
@@ -247,7 +254,7 @@
             stopped: Cell::new(false),
             leaving: Cell::new(false),
             failed: Cell::new(false),
-            memory: Budget::new(settings.limits.memory),
+            memory: memory.clone(),
             tasks: Tasks::default(),
             last_tick: Cell::new(Clock.now()),
             recorder: Recorder::default(),
@@ -601,7 +608,12 @@
     /// peer.
     pub(crate) fn inlet(&self, peer: &id::Instance, request: id::Request, side: Side) -> Rc<Inlet> {
         let (weak, peer) = (self.weak.clone(), peer.clone());
-        Inlet::new(move |bytes| {
+        let owner = match side {
+            _ if peer != self.me.instance => Owner::Links,
+            Side::Request => Owner::Callers,
+            Side::Answer => Owner::Upstream,
+        };
+        Inlet::within(&self.memory, owner, move |bytes| {
             if let Some(carrier) = weak.upgrade() {
                 let frame = Frame::Credit {
                     request,
@@ -630,6 +642,7 @@
             return self.on(Event::AnswerLost(call, request));
         };
         pending.delivered = Some(request);
+        pending.release_body();
         self.record_answered(pending, request, head.status);
         pending.send_reply(Clock.now(), Reply::Answer(head, inlet.clone()));
         self.core_mut().record_delivered(call);
@@ -652,6 +665,33 @@
         }
     }
 
+    /// Ends a call when its account is evicted.
+    pub(crate) fn refuse_on_eviction(&self, account: &Account, call: id::Call) {
+        let weak = self.weak();
+        account.on_eviction(move || {
+            // The event that exceeded the budget is handled first.
+            actix_rt::spawn(async move {
+                if let Some(carrier) = weak.upgrade() {
+                    carrier.refuse_for_memory(call);
+                }
+            });
+        });
+    }
+
+    fn refuse_for_memory(&self, call: id::Call) {
+        let refusal = self.with_call(call, |pending| {
+            pending.release_body();
+            match pending.attempts {
+                0 => Refusal::unsent(Code::MemoryShort),
+                _ => Refusal::uncertain(Code::MemoryExceeded),
+            }
+        });
+        let Some(refusal) = refusal else { return };
+        self.count(Counter::Refused(refusal.code()));
+        self.refuse(call, refusal);
+        self.on(Event::CallerGone(call));
+    }
+
     /// Sends a frame to a node, possibly this one.
     pub(crate) fn transmit(&self, peer: &id::Instance, frame: Frame) {
         if *peer == self.me.instance {
--- a/src/process/relay.rs
+++ b/src/process/relay.rs
@@ -225,6 +225,10 @@
         let Some(exchange) = self.prepare_exchange(request, token, deadline, abort) else {
             return self.on(Event::AttemptEnded(request, End::Aborted));
         };
+        // Nothing of the request is sent, so that another attempt may be.
+        if exchange.inlet.is_evicted() {
+            return self.on(Event::AttemptEnded(request, End::Rejected));
+        }
         let weak = self.weak();
         actix_rt::spawn(async move {
             let Some(carrier) = weak.upgrade() else {
@@ -356,6 +360,7 @@
                 break;
             };
             chunks.push(chunk);
+            answer.set_kept(chunks.capacity());
         }
         Ok(chunks)
     }
@@ -383,6 +388,7 @@
         let mut sum = Xxh3Default::new();
         let mut captured = capture.then(Vec::new);
         loop {
+            answer.set_kept(buffered.capacity());
             let next = match buffered.pop() {
                 Some(chunk) => Some(chunk),
                 None => self.upstream.next(answer).await?,
--- a/src/process/server.rs
+++ b/src/process/server.rs
@@ -60,6 +60,7 @@
         Peer,
         Status, //
     },
+    memory::Budget,
     message::DATAGRAM_LIMIT,
     metric::{
         Counter,
@@ -413,6 +414,11 @@
         self.carrier.on(Event::UpstreamReady(ready));
     }
 
+    /// Returns the budget of the memory that is held for other parties.
+    pub fn memory(&self) -> Budget {
+        self.carrier.memory.clone()
+    }
+
     /// Returns the version of the active configuration.
     pub fn version(&self) -> id::Version {
         self.carrier.core().snapshot().version
--- a/src/request/pending.rs
+++ b/src/request/pending.rs
@@ -26,6 +26,7 @@
     event::RequestName,
     frame::Head,
     id,
+    memory::Account,
     metric::{
         ConnectionEnd,
         Counter, //
@@ -147,6 +148,9 @@
     pub(crate) position: Option<Position>,
     /// When the answer or refusal was passed to the handler.
     pub(crate) replied: Option<Time>,
+    /// The memory of the head, and of the part of the body that was read before the call
+    /// began.
+    pub(crate) account: Option<Account>,
 }
 
 impl Pending {
@@ -166,11 +170,18 @@
             attempts: 0,
             position: None,
             replied: None,
+            account: None,
             head,
             source,
         }
     }
 
+    /// Drops the body, as no further attempt will be sent.
+    pub(crate) fn release_body(&mut self) {
+        self.source = Source::Buffered(Bytes::new());
+        self.account = None;
+    }
+
     /// Passes the answer or refusal to the handler, once.
     pub(crate) fn send_reply(&mut self, now: Time, reply: Reply) {
         if let Some(sender) = self.reply.take() {
--- a/src/standin/caller.rs
+++ b/src/standin/caller.rs
@@ -23,10 +23,14 @@
     },
     frame::Head,
     inbound::End,
+    memory::Budget,
+    unit::Size,
 };
 
 /// Time after which an unused connection is not used again.
 const IDLE_TIMEOUT: Span = Span::from_secs(4);
+/// Memory of the process that a caller reckons with.
+const MEMORY: Size = Size::kib(256 << 10);
 
 /// An answer, whole.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -68,7 +72,14 @@
 impl Caller {
     /// A caller of one node.
     pub fn new(address: SocketAddr) -> Self {
-        Self(Pool::new(address, IDLE_TIMEOUT, Names::own(), false))
+        let memory = Budget::new(MEMORY);
+        Self(Pool::new(
+            address,
+            IDLE_TIMEOUT,
+            Names::own(),
+            false,
+            memory,
+        ))
     }
 
     /// Sends a request without a body.
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -73,6 +73,7 @@
 pub struct Site {
     pub store: Store,
     pub machines: Vec<Machine>,
+    limits: Value,
 }
 
 /// What a server answers when all is well.
@@ -117,6 +118,7 @@
     pool: &str,
     upstream: SocketAddr,
     store: SocketAddr,
+    limits: &Value,
 ) -> Settings {
     let any = "127.0.0.1:0";
     let text = json!({
@@ -124,7 +126,7 @@
         "listen": { "callers": any, "links": any, "operators": any,
                     "announcements": any, "ready": any },
         "upstream": upstream, "platform": store, "trust_network": true, "secrets": [],
-        "grace": "4s", "heartbeat": "1500ms", "limits": { "connections": CONNECTIONS },
+        "grace": "4s", "heartbeat": "1500ms", "limits": limits,
     });
     Settings::parse(&text.to_string()).expect("good settings")
 }
@@ -132,11 +134,20 @@
 impl Site {
     /// A site whose servers of `registry` follow a script, one in each zone.
     pub async fn start(script: impl Fn(&Seen) -> Act + Clone + 'static) -> Self {
+        Self::with_limits(json!({ "connections": CONNECTIONS }), script).await
+    }
+
+    /// The same, whose nodes have these limits.
+    pub async fn with_limits(
+        limits: Value,
+        script: impl Fn(&Seen) -> Act + Clone + 'static,
+    ) -> Self {
         let store = Store::start();
         store.put("op/config", &configuration(1).to_string());
         let mut site = Self {
             store,
             machines: Vec::new(),
+            limits,
         };
         site.add("a-1", "a", "front", script.clone()).await;
         site.add("b-1", "b", "registry", script).await;
@@ -165,7 +176,8 @@
     }
 
     async fn node(&self, name: &str, zone: &str, pool: &str, upstream: SocketAddr) -> Server {
-        let settings = settings(name, zone, pool, upstream, self.store.address());
+        let store = self.store.address();
+        let settings = settings(name, zone, pool, upstream, store, &self.limits);
         let client = Rc::new(Client::new(self.store.address()));
         let started =
             Server::start_in(settings, Some(client), interface(), Bounds::default()).await;
