Answer callers that connect while the node closes its connections

What callers saw: a connection that the node accepted in the last half second of a planned stop ended before their first request arrived, with neither an answer nor a refusal.

Cause: the listener accepts until the process ends, but the event that closes idle connections has occurred by then, so that a new one is closed as idle before it is read.

A connection that is accepted during that time now stays open for its first request. The node refuses that one with 503, not run, and closes with the answer.

--- a/src/process/server.rs
+++ b/src/process/server.rs
@@ -771,8 +771,12 @@
     }
 }
 
-/// Waits until the server closes its connections.
+/// Waits until the server closes its connections. One that was accepted later stays open
+/// for its first request, which is refused and told that the connection closes.
 async fn wait_for_close(connections: Rc<OpenConnections>) {
+    if connections.closing.get() {
+        return std::future::pending().await;
+    }
     while !connections.closing.get() {
         connections.close_requested.notified().await;
     }
--- a/tests/platform/closing.rs
+++ b/tests/platform/closing.rs
@@ -64,6 +64,9 @@
 /// Time in milliseconds in which an idle node is ready to stop.
 const READY_TO_STOP_MS: u64 = 4000;
 
+/// Time in milliseconds from an accepted connection to its first request.
+const ROUND_TRIP_MS: u64 = 20;
+
 /// The start of an answer that another one may follow.
 const FOUND: &str = "HTTP/1.1 200 OK\r\n";
 
@@ -255,6 +258,30 @@
     });
 }
 
+/// Guards against callers that connect while a node closes its connections, and whose
+/// requests are dropped unread although the node still runs.
+#[test]
+fn connections_that_are_opened_while_a_node_closes_are_answered() {
+    run(async {
+        let mut site = Site::start(|seen| whole(seen, "stock")).await;
+        let mut idle = connect(&site.machines[0]).await;
+        let front = site.machines.remove(0);
+        front.node.drain();
+        let address = front.node.addresses().callers;
+        let calls = async {
+            assert_eq!(rest(&mut idle).await, "");
+            for _ in 0..CALLERS {
+                let mut late = TcpStream::connect(address).await.expect("a connection");
+                pause(ROUND_TRIP_MS).await;
+                send(&mut late, &head("GET", "/view/x", "")).await;
+                assert_not_run(&rest(&mut late).await, 503);
+            }
+        };
+        let ((), stop) = tokio::join!(calls, front.node.wait());
+        assert_eq!(stop, Stop::Clean);
+    });
+}
+
 /// Guards against callers that are cut off without an answer, because the node stops
 /// before it has received their requests whole.
 fn a_request_in_part_is_refused_when_the_node_stops(part: &'static str) {
