Read what has arrived before the HTTP library closes a connection

What callers of the product's own listeners saw: their connection ended without an answer when their request reached the node just before it closed its idle connections at the end of a planned stop.

Cause: actix-http closes an idle connection as soon as the signal to shut down resolves, without looking for input. The node gave that signal in the same turn of the runtime in which it decided to close.

What has arrived until then is read and refused with 503, not run.

`a_request_that_arrives_as_a_stopping_node_closes_is_answered` failed before (the connection ended without an answer) and passes now. The other tests of the file hold on the code before: a refused body of 16 MiB that the caller goes on sending, requests that are too large behind a good one, and a caller that closes its sending side, which counts as having left.

--- a/src/process/server.rs
+++ b/src/process/server.rs
@@ -718,7 +718,7 @@
         .on_connect_ext(|_, data| {
             data.insert(CloseAnnounced::default());
         })
-        .graceful_shutdown_signal(move || wait_for_close(closing.clone()))
+        .graceful_shutdown_signal(move || wait_for_input_and_close(closing.clone()))
         .h1(fn_service(move |request| {
             let response = respond(handler_carrier.clone(), handler.clone(), request);
             async move { Ok::<_, Infallible>(response.await) }
@@ -782,6 +782,13 @@
     }
 }
 
+/// Like [`wait_for_close`], but leaves time to read what has arrived on a connection by
+/// then. The HTTP library closes an idle connection without looking for input.
+async fn wait_for_input_and_close(connections: Rc<OpenConnections>) {
+    wait_for_close(connections).await;
+    tokio::time::sleep(BUSY_TICK.to_std()).await;
+}
+
 async fn accept_links(carrier: Rc<Carrier>, listener: Rc<TcpListener>) {
     loop {
         match listener.accept().await {
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -9,6 +9,8 @@
 mod bench;
 #[path = "path/body.rs"]
 mod body;
+#[path = "path/closing.rs"]
+mod closing;
 #[path = "path/endless.rs"]
 mod endless;
 #[path = "path/head_cut.rs"]
