--- a/src/process/server.rs
+++ b/src/process/server.rs
@@ -710,7 +710,7 @@
         .on_connect_ext(|_, data| {
             data.insert(CloseAnnounced::default());
         })
-        .graceful_shutdown_signal(move || wait_for_close(closing.clone()))
+        .graceful_shutdown_signal(move || wait_for_input_and_close(closing.clone()))
         .h1(fn_service(move |request| {
             let response = respond(handler_carrier.clone(), handler.clone(), request);
             async move { Ok::<_, Infallible>(response.await) }
@@ -763,13 +763,24 @@
     }
 }
 
-/// Waits until the server closes its connections.
+/// Waits until the server closes its connections. One that was accepted later stays open
+/// for its first request, which is refused and told that the connection closes.
 async fn wait_for_close(connections: Rc<OpenConnections>) {
+    if connections.closing.get() {
+        return std::future::pending().await;
+    }
     while !connections.closing.get() {
         connections.close_requested.notified().await;
     }
 }
 
+/// Like [`wait_for_close`], but leaves time to read what has arrived on a connection by
+/// then. The HTTP library closes an idle connection without looking for input.
+async fn wait_for_input_and_close(connections: Rc<OpenConnections>) {
+    wait_for_close(connections).await;
+    tokio::time::sleep(BUSY_TICK.to_std()).await;
+}
+
 async fn accept_links(carrier: Rc<Carrier>, listener: Rc<TcpListener>) {
     loop {
         match listener.accept().await {
