Try every order of events in which the ingress stops

The exhaustive test of one order now also lets the node of the router near its end, which asks the inbound proxy not to start the attempt, and stop, alone and beside a cut link, a doubled frame and a restart. No order tells "not run" of a request that runs.

--- a/tests/policy/orders.rs
+++ b/tests/policy/orders.rs
@@ -76,6 +76,7 @@
     refusals: u32,
     hangups: u32,
     drains: u32,
+    stops: u32,
 }
 
 #[derive(Clone, Debug)]
@@ -101,6 +102,8 @@
     processes: Vec<Option<Process>>,
     /// Which process the link to each instance leads to.
     links: [usize; 2],
+    /// When the node of the router answers no more.
+    ends_at: Time,
     wires: Vec<Wire>,
     budget: Budget,
     runs: i32,
@@ -195,6 +198,9 @@
     Deadline,
     HangUp,
     Drain(usize),
+    /// The node of the router is about to stop.
+    Stopping,
+    Stop,
 }
 
 impl State {
@@ -204,6 +210,7 @@
             router: Router::new(&peer("a", "front", 1)),
             processes: vec![Some(process(0, 1)), Some(process(1, 1))],
             links: [0, 1],
+            ends_at: Time::NEVER,
             wires: Vec::new(),
             budget,
             runs: 0,
@@ -243,7 +250,7 @@
             policy: Policy::default(),
             rng: &mut ChaCha8Rng::seed_from_u64(1),
             counts: &mut Counts::default(),
-            ends_at: Time::NEVER,
+            ends_at: self.ends_at,
         };
         let mut out = Vec::new();
         self.router.on(self.now, event, &mut world, &mut out);
@@ -432,6 +439,12 @@
                 steps.push(Step::Replace(number));
             }
         }
+        if self.budget.stops > 0 && !self.late {
+            steps.push(Step::Stopping);
+        }
+        if self.ends_at != Time::NEVER && !self.late {
+            steps.push(Step::Stop);
+        }
         if self.budget.waits > 0 && !self.late {
             steps.push(Step::Wait);
         }
@@ -488,6 +501,16 @@
                 self.budget.drains -= 1;
                 self.inbound(fixed, number, inbound::Event::Drain);
             }
+            Step::Stopping => {
+                self.budget.stops -= 1;
+                self.ends_at = self.now + Span::from_ms(300);
+                self.route(fixed, ingress::Event::Tick);
+            }
+            Step::Stop => {
+                self.now = self.now.max(self.ends_at);
+                self.late = true;
+                self.route(fixed, ingress::Event::Stop);
+            }
         }
     }
 
@@ -573,5 +596,9 @@
     a_replacement_and_a_cut => (Budget { replacements: 1, cuts: 1, waits: 1, ..Budget::default() }, 100),
     a_hang_up_and_a_cut => (Budget { hangups: 1, cuts: 1, ..Budget::default() }, 100),
     a_drain_and_a_cut => (Budget { drains: 1, cuts: 1, ..Budget::default() }, 100),
+    a_stop => (Budget { stops: 1, refusals: 1, ..Budget::default() }, 100),
+    a_stop_and_a_cut => (Budget { stops: 1, cuts: 1, ..Budget::default() }, 100),
+    a_stop_and_a_double => (Budget { stops: 1, doubles: 1, ..Budget::default() }, 100),
+    a_stop_and_a_restart => (Budget { stops: 1, restarts: 1, ..Budget::default() }, 100),
     a_drain_and_a_restart => (Budget { drains: 1, restarts: 1, ..Budget::default() }, 100),
 }
