Soak: judge CUT also while the soak itself is held up for moments

A stall of the soak's process excused every request within three seconds, so that a busy machine hid cuts (37 stalls in one run of 60 s). CUT now takes the stalled time off what a request had and excuses it only from half a second on.

--- a/src/soak/judge/cut.rs
+++ b/src/soak/judge/cut.rs
@@ -20,6 +20,8 @@
 const AFTERMATH: Span = Span::from_secs(1);
 /// How long before the end of its time a request may be ended.
 const TIMEOUT_SLACK: Span = Span::from_ms(100);
+/// From which time on without processor time this process may have held a request up.
+const MAX_STALLED: Span = Span::from_ms(500);
 
 impl Judge<'_> {
     /// Requests that a planned stop broke off, though nothing else was wrong.
@@ -49,7 +51,8 @@
             Got::Status(502 | 504) => !request.sealed,
             _ => false,
         };
-        let has_time = at.since(request.sent) + TIMEOUT_SLACK < request.limit;
+        let slack = TIMEOUT_SLACK + self.record.stalled(request.sent, at);
+        let has_time = at.since(request.sent) + slack < request.limit;
         if !has_ended_then || !is_concerned || !is_broken_off || !has_time {
             return None;
         }
@@ -73,7 +76,10 @@
         let slack = self.world.dialect.bounds().loss_slack;
         match request.written {
             None => true,
-            Some(written) => request.is_behind || got == Got::Closed && at.since(written) <= slack,
+            Some(written) => {
+                let slack = slack + self.record.stalled(written, at);
+                request.is_behind || got == Got::Closed && at.since(written) <= slack
+            }
         }
     }
 
@@ -86,6 +92,6 @@
                 false => machine.is_well(from, to),
             };
             is_calm && machine.server.is_sound(from, to)
-        }) && !self.record.is_stalled(from, to)
+        }) && self.record.stalled(from, to) < MAX_STALLED
     }
 }
--- a/src/soak/record.rs
+++ b/src/soak/record.rs
@@ -192,6 +192,18 @@
         super::judge::overlaps(&self.stalls, from, to)
     }
 
+    /// How long this process got no processor time.
+    pub(super) fn stalled(&self, from: Time, to: Time) -> Span {
+        let within = |(start, end): &(Time, Time)| {
+            let (start, end) = ((*start).max(from), (*end).min(to));
+            start.until(end)
+        };
+        self.stalls
+            .iter()
+            .map(within)
+            .fold(Span::ZERO, |sum, span| sum + span)
+    }
+
     pub(super) fn summary(&self) -> String {
         let count =
             |is: &dyn Fn(&Request) -> bool| self.requests.values().filter(|r| is(r)).count();
