--- a/tests/platform/closing.rs
+++ b/tests/platform/closing.rs
@@ -199,7 +199,8 @@
     fn lower_settings(&self) -> Settings {
         let upstream = self.site.machines[0].server.address();
         let store = self.site.store.address();
-        let mut lower = settings("a-1", "a", "front", upstream, store);
+        let limits = &self.site.limits;
+        let mut lower = settings("a-1", "a", "front", upstream, store, limits);
         lower.limits.connections = 1;
         lower.limits.head_time = Span::from_secs(1);
         lower.limits.body_time = Span::from_ms(300);
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -73,7 +73,7 @@
 pub struct Site {
     pub store: Store,
     pub machines: Vec<Machine>,
-    limits: Value,
+    pub limits: Value,
 }
 
 /// What a server answers when all is well.
