Record a request that is lost behind malformed input

On the product's own listeners, a caller that sends a good request and then bytes that are no request gets nothing: neither the answer to the first nor a refusal of the second, and the connection closes. The request does not reach the upstream if both are read together.

Cause: actix-http's dispatcher takes a parse error for the end of input, and with `h1_allow_half_closed(false)` the end of input for a caller that has left, whose requests are dropped. Allowing half-closed connections would answer it, but callers that leave would no longer be noticed. The listener of `connection::door`, which reads on its own, answers both.

--- a/tests/path/closing.rs
+++ b/tests/path/closing.rs
@@ -128,6 +128,12 @@
     });
 }
 
+/// Guards against an answer that is lost because a malformed request follows it.
+#[test]
+fn an_answer_before_malformed_input_is_whole() {
+    assert_answered_before("malformed\r\n\r\n".to_owned());
+}
+
 /// Guards against an answer that is lost because a request follows it that is too large.
 fn an_answer_before_a_large_request_is_whole(next: String) {
     assert_answered_before(next);
