Links: bound and charge what a link holds

The queue of a link had no bound: frames for a peer that reads slowly were kept until its requests ended. What peers had sent of unfinished frames (4 MiB each) was bounded by the number of links alone.

The slow reader was played on the code before: while a peer read about 100 KB a second, 160 bodies of 200 KiB waited in its link for more than 20 s, and the link stayed ("never: its link is closed").

A link now charges what it holds to the budget (owner `links`): all that is queued, and what is received above 128 KiB, of an unfinished frame or of the longest one, whose buffer it keeps. An evicted link, or one with more than 16 MiB queued, is closed as if it had broken; counter link_overrun, one line of the log. Streamed bodies wait while 8 MiB are queued, so that many streams over a slow link do not close it.

Also new: answers to HEAD with a body without end, and a decompression bomb of a watcher.

--- a/src/connection/link.rs
+++ b/src/connection/link.rs
@@ -31,10 +31,7 @@
     Serialize,
     de::DeserializeOwned, //
 };
-use tokio::{
-    net::TcpStream,
-    sync::mpsc, //
-};
+use tokio::net::TcpStream;
 use tokio_tungstenite::{
     WebSocketStream, accept_async_with_config, client_async_with_config,
     tungstenite::{
@@ -47,6 +44,11 @@
 };
 
 use super::{
+    queue::{
+        Item,
+        Metered,
+        Queued, //
+    },
     secret::Ring,
     socket, //
 };
@@ -79,7 +81,16 @@
 /// Most queued frames added to a write before the socket is flushed.
 const FLUSH_BATCH: usize = 64;
 
-type Socket = WebSocketStream<TcpStream>;
+/// A connection during its handshake.
+type Handshake = WebSocketStream<TcpStream>;
+/// The connection of an authenticated link.
+type Socket = WebSocketStream<Metered>;
+
+/// An authenticated connection, over which no frame was sent yet.
+pub(crate) struct Authenticated {
+    stream: TcpStream,
+    role: Role,
+}
 
 /// The dialer's first handshake message.
 #[derive(Serialize, Deserialize)]
@@ -149,7 +160,7 @@
     Error::new(Code::Secret, "the peer does not know the fleet secret")
 }
 
-async fn send_message<T: Serialize>(socket: &mut Socket, value: &T) -> Result<()> {
+async fn send_message<T: Serialize>(socket: &mut Handshake, value: &T) -> Result<()> {
     let bytes = frame::encode(value, HANDSHAKE_LIMIT)?;
     socket
         .send(Message::binary(bytes))
@@ -157,22 +168,26 @@
         .map_err(unreachable_error)
 }
 
-async fn receive_message<T: DeserializeOwned>(socket: &mut Socket) -> Result<T> {
+async fn receive_message<T: DeserializeOwned>(socket: &mut Handshake) -> Result<T> {
     match socket.next().await {
         Some(Ok(Message::Binary(bytes))) => frame::decode(&bytes, HANDSHAKE_LIMIT),
         _ => Err(authentication_error()),
     }
 }
 
-/// Rewraps the socket with the limits of an authenticated link. No buffered bytes
-/// are lost, because the ends of a handshake send only in turn.
-async fn raise_limits(socket: Socket, role: Role) -> Socket {
-    WebSocketStream::from_raw_socket(
-        socket.into_inner(),
-        role,
-        Some(websocket_config(frame::LIMIT)),
-    )
-    .await
+impl Authenticated {
+    /// Ends a handshake. No buffered bytes are lost, because its ends send only in turn.
+    fn new(socket: Handshake, role: Role) -> Self {
+        let stream = socket.into_inner();
+        Self { stream, role }
+    }
+
+    /// Wraps the connection with the limits of an authenticated link.
+    async fn open(self, queue: &Queued) -> Socket {
+        let stream = Metered::new(self.stream, queue.held().clone());
+        let config = websocket_config(frame::LIMIT);
+        WebSocketStream::from_raw_socket(stream, self.role, Some(config)).await
+    }
 }
 
 /// Connects to an address. A machine that is just starting loses the first request, which
@@ -198,7 +213,7 @@
     me: &id::Instance,
     peer: &id::Instance,
     ring: &Ring,
-) -> Result<Socket> {
+) -> Result<Authenticated> {
     let stream = connect(address).await?;
     socket::configure(&stream)?;
     let url = format!("ws://{address}/link");
@@ -229,10 +244,10 @@
     let proofs = ring.prove("dial", &transcript.parts());
     send_message(&mut socket, &Proof { proofs }).await?;
     let Welcome {} = receive_message(&mut socket).await?;
-    Ok(raise_limits(socket, Role::Client).await)
+    Ok(Authenticated::new(socket, Role::Client))
 }
 
-/// Accepts and authenticates a link. Returns the peer's name and the socket.
+/// Accepts and authenticates a link. Returns the peer's name and the connection.
 ///
 /// # Errors
 ///
@@ -241,7 +256,7 @@
     stream: TcpStream,
     me: &id::Instance,
     ring: &Ring,
-) -> Result<(id::Instance, Socket)> {
+) -> Result<(id::Instance, Authenticated)> {
     socket::configure(&stream)?;
     let mut socket = accept_async_with_config(stream, Some(websocket_config(HANDSHAKE_LIMIT)))
         .await
@@ -264,48 +279,31 @@
         return Err(authentication_error());
     }
     send_message(&mut socket, &Welcome {}).await?;
-    Ok((transcript.dialer, raise_limits(socket, Role::Server).await))
-}
-
-/// What is sent over a link.
-pub(crate) enum Outgoing {
-    /// An encoded frame.
-    Frame(Vec<u8>),
-    /// A question for a sign of life.
-    Ping,
-}
-
-impl From<Outgoing> for Message {
-    fn from(outgoing: Outgoing) -> Self {
-        match outgoing {
-            Outgoing::Frame(bytes) => Self::binary(bytes),
-            Outgoing::Ping => Self::Ping(Bytes::new()),
-        }
-    }
+    let authenticated = Authenticated::new(socket, Role::Server);
+    Ok((transcript.dialer, authenticated))
 }
 
 /// What is received over a link.
 pub(crate) enum Incoming {
     /// An encoded frame.
     Frame(Bytes),
-    /// The answer to [`Outgoing::Ping`]. The peer's process gives it, unlike the
+    /// The answer to [`Outgoing::Ping`](super::queue::Outgoing::Ping). The peer's process gives it, unlike the
     /// acknowledgements of its system.
     Pong,
 }
 
-/// The sending end of a link's queue.
-pub(crate) type Queue = mpsc::UnboundedSender<Outgoing>;
-
 /// Sends what is queued and passes on what is received, until the link breaks,
 /// `on_message` fails or the queue is closed. All frames of a closed queue are sent.
 pub(crate) async fn run(
-    socket: Socket,
-    queue: mpsc::UnboundedReceiver<Outgoing>,
+    connection: Authenticated,
+    queue: Queued,
     on_message: Rc<dyn Fn(Incoming) -> Result<()>>,
 ) {
-    let (sink, mut stream) = socket.split();
+    let held = queue.held().clone();
+    let (sink, mut stream) = connection.open(&queue).await.split();
     let read = async {
         while let Some(Ok(message)) = stream.next().await {
+            held.completed(&message);
             let accepted = match message {
                 Message::Binary(bytes) => on_message(Incoming::Frame(bytes)).is_ok(),
                 Message::Pong(_) => on_message(Incoming::Pong).is_ok(),
@@ -339,17 +337,27 @@
 /// Sends the frames of a queue until it is closed, then closes the link.
 async fn write(
     mut sink: SplitSink<Socket, Message>,
-    mut queue: mpsc::UnboundedReceiver<Outgoing>,
+    mut queue: Queued,
 ) -> std::result::Result<(), tungstenite::Error> {
-    while let Some(outgoing) = queue.recv().await {
-        sink.feed(outgoing.into()).await?;
+    while let Some(item) = queue.next().await {
+        feed(&mut sink, item).await?;
         for _ in 0..FLUSH_BATCH {
-            let Ok(outgoing) = queue.try_recv() else {
+            let Some(item) = queue.try_next() else {
                 break;
             };
-            sink.feed(outgoing.into()).await?;
+            feed(&mut sink, item).await?;
         }
         sink.flush().await?;
     }
     sink.close().await
 }
+
+/// Writes a message, which counts as queued until then.
+async fn feed(
+    sink: &mut SplitSink<Socket, Message>,
+    item: Item,
+) -> std::result::Result<(), tungstenite::Error> {
+    sink.feed(item.message).await?;
+    drop(item.slot);
+    Ok(())
+}
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -8,6 +8,7 @@
 pub mod header;
 pub(crate) mod link;
 pub mod message;
+pub(crate) mod queue;
 pub(crate) mod refusal;
 pub(crate) mod secret;
 pub mod socket;
--- a/src/process/links.rs
+++ b/src/process/links.rs
@@ -12,10 +12,7 @@
 
 use tokio::{
     net::TcpStream,
-    sync::{
-        mpsc,
-        oneshot, //
-    },
+    sync::oneshot, //
 };
 
 use crate::{
@@ -24,20 +21,31 @@
         Clock,
         Time, //
     },
-    connection::link::{
-        self,
-        HANDSHAKE_TIMEOUT,
-        Incoming,
-        Outgoing,
-        Queue, //
+    connection::{
+        link::{
+            self,
+            Authenticated,
+            HANDSHAKE_TIMEOUT,
+            Incoming, //
+        },
+        queue::{
+            Held,
+            Outgoing,
+            Queue,
+            Queued, //
+        },
     },
     error::{
         Code as Fault,
         Error,
         Result, //
     },
-    frame::Frame,
+    frame::{
+        Frame,
+        Side, //
+    },
     id,
+    memory::Owner,
     metric::Counter,
     node::Event,
     task::{
@@ -81,13 +89,13 @@
             .entry(peer.clone())
             .or_insert_with(|| dial(carrier, peer));
         link.last_used.set(Clock.now());
-        let _ = link.queue.send(Outgoing::Frame(bytes));
+        link.queue.push(Outgoing::Frame(bytes));
     }
 
     /// Asks a peer for a sign of life if there is an outbound link to it.
     pub(crate) fn ping(&self, peer: &id::Instance) {
         if let Some(link) = self.outbound.borrow().get(peer) {
-            let _ = link.queue.send(Outgoing::Ping);
+            link.queue.push(Outgoing::Ping);
         }
     }
 
@@ -107,10 +115,21 @@
         if let Some(link) = self.inbound.borrow().get(peer)
             && let Ok(bytes) = frame.encode()
         {
-            let _ = link.queue.send(Outgoing::Frame(bytes));
+            link.queue.push(Outgoing::Frame(bytes));
         }
     }
 
+    /// Returns what the link to a peer holds if streamed bodies have to wait for it. A
+    /// request body is sent over the outbound link, an answer over the inbound one.
+    pub(crate) fn crowded(&self, peer: &id::Instance, side: Side) -> Option<Rc<Held>> {
+        let links = match side {
+            Side::Request => self.outbound.borrow(),
+            Side::Answer => self.inbound.borrow(),
+        };
+        let held = links.get(peer)?.queue.held();
+        held.is_crowded().then(|| held.clone())
+    }
+
     /// Whether this is the inbound link of the peer. One that is being closed is not.
     fn is_current_inbound(&self, peer: &id::Instance, number: u64) -> bool {
         let links = self.inbound.borrow();
@@ -178,7 +197,7 @@
             let links = &carrier.links;
             links.half_open.set(links.half_open.get() - 1);
             match accepted {
-                Ok(Some((peer, socket))) => serve(carrier, peer, socket).await,
+                Ok(Some((peer, connection))) => serve(carrier, peer, connection).await,
                 Ok(None) => {}
                 Err(panic) => carrier.record_panic(Unit::Link, &"", &panic),
             }
@@ -187,10 +206,7 @@
 }
 
 /// Authenticates the peer that has opened a connection. Returns `None` if it fails to.
-async fn handshake(
-    carrier: &Carrier,
-    stream: TcpStream,
-) -> Option<(id::Instance, tokio_tungstenite::WebSocketStream<TcpStream>)> {
+async fn handshake(carrier: &Carrier, stream: TcpStream) -> Option<(id::Instance, Authenticated)> {
     let handshake = link::accept(stream, &carrier.me.instance, &carrier.ring);
     let outcome = tokio::time::timeout(HANDSHAKE_TIMEOUT.to_std(), handshake).await;
     match outcome {
@@ -205,12 +221,9 @@
 }
 
 /// Serves an inbound link until it ends.
-async fn serve(
-    carrier: Rc<Carrier>,
-    peer: id::Instance,
-    socket: tokio_tungstenite::WebSocketStream<TcpStream>,
-) {
-    let (queue, queued) = mpsc::unbounded_channel();
+async fn serve(carrier: Rc<Carrier>, peer: id::Instance, connection: Authenticated) {
+    let (queue, queued) = Queue::new();
+    let held = queue.held().clone();
     let (end, ended) = oneshot::channel();
     let number = carrier.next_number();
     let link = Link {
@@ -241,7 +254,8 @@
             handle(incoming)
         })
     };
-    let ended = contain_unit(Unit::Link, link::run(socket, queued, handler)).await;
+    let run = link::run(connection, queued, handler);
+    let ended = contain_unit(Unit::Link, run_bounded(&carrier, &peer, &held, run)).await;
     if let Err(panic) = ended {
         carrier.record_panic(Unit::Link, &peer, &panic);
     }
@@ -254,13 +268,15 @@
 
 /// Starts to dial a peer. Frames are queued until the link is open.
 fn dial(carrier: &Rc<Carrier>, peer: &id::Instance) -> Link {
-    let (queue, queued) = mpsc::unbounded_channel();
+    let (queue, queued) = Queue::new();
+    let held = queue.held().clone();
     let (end, ended) = oneshot::channel();
     let number = carrier.next_number();
     let (carrier, peer) = (carrier.clone(), peer.clone());
     actix_rt::spawn(async move {
         let opened = Cell::new(false);
         let run = run_outbound(&carrier, &peer, queued, &opened);
+        let run = run_bounded(&carrier, &peer, &held, run);
         if let Err(panic) = contain_unit(Unit::Link, run).await {
             carrier.record_panic(Unit::Link, &peer, &panic);
         }
@@ -275,19 +291,37 @@
     }
 }
 
+/// Runs a link until it ends or holds too much. Then its connection is closed at once,
+/// as if it had broken.
+async fn run_bounded(
+    carrier: &Carrier,
+    peer: &id::Instance,
+    held: &Held,
+    run: impl Future<Output = ()>,
+) {
+    let account = carrier.memory.open(Owner::Links);
+    tokio::select! {
+        () = run => {}
+        () = held.exceed(&account) => {
+            carrier.count(Counter::LinkOverrun);
+            log::warn!(peer:% = peer, held = account.held(); "link closed: it holds too much");
+        }
+    }
+}
+
 /// Opens an outbound link and runs it until it ends.
 async fn run_outbound(
     carrier: &Rc<Carrier>,
     peer: &id::Instance,
-    queued: mpsc::UnboundedReceiver<Outgoing>,
+    queued: Queued,
     opened: &Cell<bool>,
 ) {
     match connect(carrier, peer).await {
-        Ok(socket) => {
+        Ok(connection) => {
             opened.set(true);
             carrier.count(Counter::LinkOpened);
             carrier.on(Event::OutboundLinkOpened(peer.clone()));
-            link::run(socket, queued, frame_handler(carrier, peer, false)).await;
+            link::run(connection, queued, frame_handler(carrier, peer, false)).await;
         }
         Err(error) => {
             log::warn!(peer:% = peer, code = error.number(); "no link: {}", error.reason());
@@ -296,10 +330,7 @@
 }
 
 /// Connects to a peer and performs the handshake.
-async fn connect(
-    carrier: &Rc<Carrier>,
-    peer: &id::Instance,
-) -> Result<tokio_tungstenite::WebSocketStream<TcpStream>> {
+async fn connect(carrier: &Rc<Carrier>, peer: &id::Instance) -> Result<Authenticated> {
     let address = carrier.core_mut().members().get(peer).map(|peer| peer.link);
     let address = address.ok_or_else(|| Error::new(Fault::Unreachable, "no such member"))?;
     let handshake = link::dial(address, &carrier.me.instance, peer, &carrier.ring);
--- a/src/process/metric.rs
+++ b/src/process/metric.rs
@@ -150,6 +150,8 @@
     LinkOpened,
     /// Links that broke or could not be established.
     LinkBroken,
+    /// Links closed because they held too much memory.
+    LinkOverrun,
     /// Links refused because the maximum number was reached.
     LinkLimit,
     /// Connections refused because the maximum number was reached.
--- a/src/process/relay.rs
+++ b/src/process/relay.rs
@@ -212,12 +212,25 @@
     async fn send_chunk(&self, sender: &BodySender, mut chunk: Bytes) -> Result<(), Cut> {
         while !chunk.is_empty() {
             let requested = chunk.len().min(MAX_CHUNK);
-            let size = sender.outlet.reserve(requested).await?;
+            let size = self.reserve(sender, requested).await?;
             self.transmit(&sender.peer, sender.chunk(chunk.split_to(size)));
         }
         Ok(())
     }
 
+    /// Waits until up to `limit` bytes may be sent: for credit of the receiver, and until
+    /// the link to it has sent what it holds.
+    async fn reserve(&self, sender: &BodySender, limit: usize) -> Result<usize, Cut> {
+        loop {
+            let size = sender.outlet.reserve(limit).await?;
+            let Some(held) = self.links.crowded(&sender.peer, sender.side) else {
+                return Ok(size);
+            };
+            sender.outlet.grant(size as u32);
+            held.room().await;
+        }
+    }
+
     /// Sends an attempt to the upstream.
     pub(crate) fn start_attempt(&self, request: id::Request, token: id::Token, deadline: Time) {
         let (abort, aborted) = oneshot::channel();
--- a/tests/fleet/feed.rs
+++ b/tests/fleet/feed.rs
@@ -522,3 +522,28 @@
     let is_whole = |update: &Update| matches!(update.answer, Answer::Listing { .. });
     assert!(!updates.iter().any(is_whole), "{updates:?}");
 }
+
+/// Guards against an answer of a few kilobytes that takes all memory once decompressed.
+#[test]
+fn decompressed_answer_is_bounded() {
+    let mut pair = Pair::new();
+    let huge = Entry {
+        key: "a".to_owned(),
+        value: "0".repeat(64 << 20),
+        revision: Revision(5),
+    };
+    let answer = Answer::Listing {
+        entries: vec![huge],
+        at: Revision(5),
+    };
+    pair.store(None, &answer);
+    pair.ask(None);
+    let (number, held, news) = pair.reply().expect("a reply");
+    let size = news[&Topic::Members]
+        .compressed
+        .as_ref()
+        .map(|bytes| bytes.len());
+    assert!(size.is_some_and(|size| size < 1 << 20), "{size:?}");
+    assert!(pair.handle_reply(number, held, news).is_empty());
+    assert!(!pair.is_chosen(), "a watcher without readable data");
+}
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -5,6 +5,8 @@
 
 #[path = "path/answer.rs"]
 mod answer;
+#[path = "path/answer_to_head.rs"]
+mod answer_to_head;
 #[path = "path/bench.rs"]
 mod bench;
 #[path = "path/body.rs"]
@@ -21,6 +23,8 @@
 mod link;
 #[path = "path/operator.rs"]
 mod operator;
+#[path = "path/reader.rs"]
+mod reader;
 #[path = "support/received.rs"]
 mod received;
 #[path = "path/settings.rs"]
