Control listeners: bound their connections, and what is unfinished on them

On the listeners for operators, readiness checks and announcements a body that no handler reads was read without end, an unfinished second head or an unread answer held a connection for good, and as many connections as of callers (4,096) could each fill a head of 128 KiB. The HTTP library bounds the first head of a connection alone.

A connection to these listeners now ends `head_time` after the first byte that belongs to no handled request, or after 256 KiB of such bytes; `head_time` after its peer has stopped to read; and 75 s and `head_time` after its last request. Each of them has at most 256 connections.

Other tests of the announcement listener were not run on this code.

--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -1,6 +1,7 @@
 //! Connections to callers, to upstreams and between nodes: framing, body flow
 //! control, authentication and header filtering.
 
+pub(crate) mod activity;
 pub(crate) mod body;
 pub(crate) mod caller;
 pub(crate) mod door;
--- a/src/process/server.rs
+++ b/src/process/server.rs
@@ -40,6 +40,10 @@
         Time, //
     },
     connection::{
+        activity::{
+            Activity,
+            Watched, //
+        },
         caller::{
             self,
             CloseAnnounced,
@@ -99,6 +103,18 @@
 /// Drain time if the configuration does not contain the pool.
 const DEFAULT_DRAIN_TIME: Span = Span::from_secs(30);
 
+/// Time for which an idle connection is kept open on the listeners that are not for
+/// callers.
+const KEEP_ALIVE: Span = Span::from_secs(75);
+
+/// Maximum number of connections to each listener that carries no requests of callers or
+/// of the service. Each connection may fill a buffer for its head.
+const MAX_CONTROL_CONNECTIONS: usize = 256;
+
+/// Maximum number of bytes on such a connection that belong to no handled request: a head,
+/// and the rest of a body that was not read.
+const MAX_CONTROL_BYTES: usize = 256 << 10;
+
 /// Time allowed for the last bytes of answers and frames to be sent when the node
 /// stops, and for a client to disconnect.
 const FLUSH_TIMEOUT: Span = Span::from_ms(500);
@@ -315,7 +331,7 @@
                         ListenerKind::Callers => Essential::Callers,
                         ListenerKind::Service => Essential::Service,
                     };
-                    tasks.push(self.serve_http(task, listener, handler));
+                    tasks.push(self.serve_http(task, listener, Traffic::Requests, handler));
                 }
             }
             // Without a listener of its own, the service uses that of the
@@ -330,19 +346,21 @@
         if let Some(listener) = announcements {
             let handler_carrier = carrier.clone();
             let handler = move |request| beside::serve(handler_carrier.clone(), request);
-            tasks.push(self.serve_http(Essential::Announcements, listener, handler));
+            let (task, traffic) = (Essential::Announcements, Traffic::Control);
+            tasks.push(self.serve_http(task, listener, traffic, handler));
         }
         if let Some(listener) = ready {
             let handler_carrier = carrier.clone();
             let handler = move |request| readiness(handler_carrier.clone(), request);
-            tasks.push(self.serve_http(Essential::Readiness, listener, handler));
+            let (task, traffic) = (Essential::Readiness, Traffic::Control);
+            tasks.push(self.serve_http(task, listener, traffic, handler));
         }
         let operator = Rc::new(export::OperatorApi::new(carrier.clone()));
         let handler = move |request| export::serve(operator.clone(), request);
         let links = Rc::new(links);
         let findings = Rc::new(probe::Findings::default());
         tasks.extend([
-            self.serve_http(Essential::Operators, operators, handler),
+            self.serve_http(Essential::Operators, operators, Traffic::Control, handler),
             self.supervise(Essential::Links, move |carrier| {
                 accept_links(carrier, links.clone())
             }),
@@ -371,6 +389,7 @@
         &self,
         task: Essential,
         listener: TcpListener,
+        traffic: Traffic,
         handler: F,
     ) -> JoinHandle<()>
     where
@@ -383,6 +402,7 @@
                 carrier,
                 connections.clone(),
                 listener.clone(),
+                traffic,
                 handler.clone(),
             )
         })
@@ -697,11 +717,38 @@
     }
 }
 
+/// What a listener is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Traffic {
+    /// Requests of callers or of the service.
+    Requests,
+    /// Announcements, readiness checks and operators, with short requests and answers.
+    Control,
+}
+
+impl Traffic {
+    fn max_connections(self, carrier: &Carrier) -> usize {
+        let limit = carrier.limits().connections;
+        match self {
+            Self::Requests => limit,
+            Self::Control => limit.min(MAX_CONTROL_CONNECTIONS),
+        }
+    }
+
+    fn max_unhandled(self) -> usize {
+        match self {
+            Self::Requests => usize::MAX,
+            Self::Control => MAX_CONTROL_BYTES,
+        }
+    }
+}
+
 /// Accepts and serves HTTP connections on a listener.
 async fn serve_http<F, Fut>(
     carrier: Rc<Carrier>,
     connections: Rc<OpenConnections>,
     listener: Rc<TcpListener>,
+    traffic: Traffic,
     handler: F,
 ) where
     F: Fn(Request) -> Fut + Clone + 'static,
@@ -711,19 +758,19 @@
     let handler_carrier = carrier.clone();
     let limits = carrier.limits();
     let factory = HttpService::build()
-        .keep_alive(KeepAlive::Timeout(std::time::Duration::from_secs(75)))
+        .keep_alive(KeepAlive::Timeout(KEEP_ALIVE.to_std()))
         .client_request_timeout(limits.head_time.to_std())
         .client_disconnect_timeout(FLUSH_TIMEOUT.to_std())
         .h1_allow_half_closed(false)
-        .on_connect_ext(|_, data| {
+        .on_connect_ext(|connection: &Watched, data| {
+            data.insert(connection.activity().clone());
             data.insert(CloseAnnounced::default());
         })
         .graceful_shutdown_signal(move || wait_for_close(closing.clone()))
         .h1(fn_service(move |request| {
             let response = respond(handler_carrier.clone(), handler.clone(), request);
             async move { Ok::<_, Infallible>(response.await) }
-        }))
-        .tcp();
+        }));
     let Ok(service) = factory.new_service(()).await else {
         return;
     };
@@ -735,16 +782,29 @@
             tokio::time::sleep(BUSY_TICK.to_std()).await;
             continue;
         };
-        if open.get() >= carrier.limits().connections {
+        if open.get() >= traffic.max_connections(&carrier) {
             carrier.count(Counter::ConnectionLimit);
             continue;
         }
         let _ = stream.set_nodelay(true);
+        let peer = stream.peer_addr().ok();
         let (carrier, service, open) = (carrier.clone(), service.clone(), open.clone());
         let counted = OpenConnection::count(&connections);
         actix_rt::spawn(async move {
             open.set(open.get() + 1);
-            let serve = async { service.call(stream).await };
+            let stream = Watched::new(stream, traffic.max_unhandled());
+            let activity = stream.activity().clone();
+            let limit = carrier.limits().head_time;
+            let serve = async {
+                let served = service.call((stream, peer));
+                match traffic {
+                    Traffic::Requests => drop(served.await),
+                    Traffic::Control => tokio::select! {
+                        _ = served => {}
+                        () = activity.overdue(limit, KEEP_ALIVE + limit) => {}
+                    },
+                }
+            };
             if let Err(panic) = contain_unit(Unit::Connection, serve).await {
                 carrier.record_panic(Unit::Connection, &"", &panic);
             }
@@ -761,6 +821,8 @@
     Fut: Future<Output = Response<BoxBody>>,
 {
     let path = request.path().to_owned();
+    let activity = request.conn_data::<Rc<Activity>>().cloned();
+    let _handling = activity.map(Activity::handle);
     let handle = async move { handler(request).await };
     match contain_unit(Unit::Request, handle).await {
         Ok(response) => response,
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -11,6 +11,8 @@
 mod bench;
 #[path = "path/body.rs"]
 mod body;
+#[path = "path/control.rs"]
+mod control;
 #[path = "path/endless.rs"]
 mod endless;
 #[path = "path/head_cut.rs"]
