--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -1,6 +1,7 @@
 //! Connections to callers, to upstreams and between nodes: framing, body flow
 //! control, authentication and header filtering.
 
+pub(crate) mod activity;
 pub(crate) mod body;
 pub(crate) mod caller;
 pub(crate) mod door;
@@ -8,6 +9,7 @@
 pub mod header;
 pub(crate) mod link;
 pub mod message;
+pub(crate) mod queue;
 pub(crate) mod refusal;
 pub(crate) mod secret;
 pub mod socket;
--- a/src/process/server.rs
+++ b/src/process/server.rs
@@ -43,6 +43,10 @@
         Time, //
     },
     connection::{
+        activity::{
+            Activity,
+            Watched, //
+        },
         caller::{
             self,
             CloseAnnounced,
@@ -102,6 +106,17 @@
 
 /// Time allowed for a client to disconnect.
 const DISCONNECT_TIMEOUT: Span = Span::from_ms(500);
+/// Time for which an idle connection is kept open on the listeners that are not for
+/// callers.
+const KEEP_ALIVE: Span = Span::from_secs(75);
+
+/// Maximum number of connections to each listener that carries no requests of callers or
+/// of the service. Each connection may fill a buffer for its head.
+const MAX_CONTROL_CONNECTIONS: usize = 256;
+
+/// Maximum number of bytes on such a connection that belong to no handled request: a head,
+/// and the rest of a body that was not read.
+const MAX_CONTROL_BYTES: usize = 256 << 10;
 
 /// Maximum number of times that a call moves on to another instance because one
 /// refused it before its upstream saw it. A higher limit makes callers wait
@@ -315,7 +330,7 @@
                         ListenerKind::Callers => Essential::Callers,
                         ListenerKind::Service => Essential::Service,
                     };
-                    tasks.push(self.serve_http(task, listener, handler));
+                    tasks.push(self.serve_http(task, listener, Traffic::Requests, handler));
                 }
             }
             // Without a listener of its own, the service uses that of the
@@ -330,19 +345,21 @@
         if let Some(listener) = announcements {
             let handler_carrier = carrier.clone();
             let handler = move |request| beside::serve(handler_carrier.clone(), request);
-            tasks.push(self.serve_http(Essential::Announcements, listener, handler));
+            let (task, traffic) = (Essential::Announcements, Traffic::Control);
+            tasks.push(self.serve_http(task, listener, traffic, handler));
         }
         if let Some(listener) = ready {
             let handler_carrier = carrier.clone();
             let handler = move |request| readiness(handler_carrier.clone(), request);
-            tasks.push(self.serve_http(Essential::Readiness, listener, handler));
+            let (task, traffic) = (Essential::Readiness, Traffic::Control);
+            tasks.push(self.serve_http(task, listener, traffic, handler));
         }
         let operator = Rc::new(export::OperatorApi::new(carrier.clone()));
         let handler = move |request| export::serve(operator.clone(), request);
         let links = Rc::new(links);
         let findings = Rc::new(probe::Findings::default());
         tasks.extend([
-            self.serve_http(Essential::Operators, operators, handler),
+            self.serve_http(Essential::Operators, operators, Traffic::Control, handler),
             self.supervise(Essential::Links, move |carrier| {
                 accept_links(carrier, links.clone())
             }),
@@ -371,6 +388,7 @@
         &self,
         task: Essential,
         listener: TcpListener,
+        traffic: Traffic,
         handler: F,
     ) -> JoinHandle<()>
     where
@@ -383,6 +401,7 @@
                 carrier,
                 connections.clone(),
                 listener.clone(),
+                traffic,
                 handler.clone(),
             )
         })
@@ -692,11 +711,38 @@
     }
 }
 
+/// What a listener is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Traffic {
+    /// Requests of callers or of the service.
+    Requests,
+    /// Announcements, readiness checks and operators, with short requests and answers.
+    Control,
+}
+
+impl Traffic {
+    fn max_connections(self, carrier: &Carrier) -> usize {
+        let limit = carrier.limits().connections;
+        match self {
+            Self::Requests => limit,
+            Self::Control => limit.min(MAX_CONTROL_CONNECTIONS),
+        }
+    }
+
+    fn max_unhandled(self) -> usize {
+        match self {
+            Self::Requests => usize::MAX,
+            Self::Control => MAX_CONTROL_BYTES,
+        }
+    }
+}
+
 /// Accepts and serves HTTP connections on a listener.
 async fn serve_http<F, Fut>(
     carrier: Rc<Carrier>,
     connections: Rc<OpenConnections>,
     listener: Rc<TcpListener>,
+    traffic: Traffic,
     handler: F,
 ) where
     F: Fn(Request) -> Fut + Clone + 'static,
@@ -706,19 +752,19 @@
     let handler_carrier = carrier.clone();
     let limits = carrier.limits();
     let factory = HttpService::build()
-        .keep_alive(KeepAlive::Timeout(std::time::Duration::from_secs(75)))
+        .keep_alive(KeepAlive::Timeout(KEEP_ALIVE.to_std()))
         .client_request_timeout(limits.head_time.to_std())
         .client_disconnect_timeout(DISCONNECT_TIMEOUT.to_std())
         .h1_allow_half_closed(false)
-        .on_connect_ext(|_, data| {
+        .on_connect_ext(|connection: &Watched, data| {
+            data.insert(connection.activity().clone());
             data.insert(CloseAnnounced::default());
         })
         .graceful_shutdown_signal(move || wait_for_input_and_close(closing.clone()))
         .h1(fn_service(move |request| {
             let response = respond(handler_carrier.clone(), handler.clone(), request);
             async move { Ok::<_, Infallible>(response.await) }
-        }))
-        .tcp();
+        }));
     let Ok(service) = factory.new_service(()).await else {
         return;
     };
@@ -730,16 +776,29 @@
             tokio::time::sleep(BUSY_TICK.to_std()).await;
             continue;
         };
-        if open.get() >= carrier.limits().connections {
+        if open.get() >= traffic.max_connections(&carrier) {
             carrier.count(Counter::ConnectionLimit);
             continue;
         }
         let _ = stream.set_nodelay(true);
+        let peer = stream.peer_addr().ok();
         let (carrier, service, open) = (carrier.clone(), service.clone(), open.clone());
         let counted = OpenConnection::count(&connections);
         actix_rt::spawn(async move {
             open.set(open.get() + 1);
-            let serve = async { service.call(stream).await };
+            let stream = Watched::new(stream, traffic.max_unhandled());
+            let activity = stream.activity().clone();
+            let limit = carrier.limits().head_time;
+            let serve = async {
+                let served = service.call((stream, peer));
+                match traffic {
+                    Traffic::Requests => drop(served.await),
+                    Traffic::Control => tokio::select! {
+                        _ = served => {}
+                        () = activity.overdue(limit, KEEP_ALIVE + limit) => {}
+                    },
+                }
+            };
             if let Err(panic) = contain_unit(Unit::Connection, serve).await {
                 carrier.record_panic(Unit::Connection, &"", &panic);
             }
@@ -756,6 +815,8 @@
     Fut: Future<Output = Response<BoxBody>>,
 {
     let path = request.path().to_owned();
+    let activity = request.conn_data::<Rc<Activity>>().cloned();
+    let _handling = activity.map(Activity::handle);
     let handle = async move { handler(request).await };
     match contain_unit(Unit::Request, handle).await {
         Ok(response) => response,
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -5,12 +5,16 @@
 
 #[path = "path/answer.rs"]
 mod answer;
+#[path = "path/answer_to_head.rs"]
+mod answer_to_head;
 #[path = "path/bench.rs"]
 mod bench;
 #[path = "path/body.rs"]
 mod body;
 #[path = "path/closing.rs"]
 mod closing;
+#[path = "path/control.rs"]
+mod control;
 #[path = "path/endless.rs"]
 mod endless;
 #[path = "path/head_cut.rs"]
@@ -23,6 +27,8 @@
 mod link;
 #[path = "path/operator.rs"]
 mod operator;
+#[path = "path/reader.rs"]
+mod reader;
 #[path = "support/received.rs"]
 mod received;
 #[path = "path/settings.rs"]
