Release what an evicted account holds, whatever its holder waits for

The budget counts an evicted account as given up, but two holders noticed that only at their next read or write: the relay of an answer that waits for credit kept its read buffer (32,768 bytes held 0.5 s after the eviction), and a response whose server is silent its write buffer (131,072 bytes after 1 s), so that the process could hold more than its budget.

Both now wait for the eviction too.

--- a/src/connection/door.rs
+++ b/src/connection/door.rs
@@ -908,7 +908,7 @@
     // A response without a body does not wait for the inlet.
     let body = (!bodiless).then_some(inlet);
     while let Some(inlet) = body
-        && let Some(chunk) = inlet.next().await
+        && let Some(chunk) = next_chunk(shared, inlet).await?
     {
         let chunk = chunk.map_err(|Cut| ConnectionEnd::Cut)?;
         push_chunk(&mut output, &chunk, chunked);
@@ -931,6 +931,18 @@
     written
 }
 
+/// Waits for the next chunk of a response, unless the memory for it runs short.
+async fn next_chunk(
+    shared: &ConnectionState,
+    inlet: &Inlet,
+) -> Result<Option<Result<Bytes, Cut>>, ConnectionEnd> {
+    tokio::select! {
+        biased;
+        () = shared.output.evicted() => Err(ConnectionEnd::Cut),
+        chunk = inlet.next() => Ok(chunk),
+    }
+}
+
 fn push_chunk(output: &mut BytesMut, chunk: &[u8], chunked: bool) {
     if chunk.is_empty() {
         return;
--- a/src/connection/upstream.rs
+++ b/src/connection/upstream.rs
@@ -153,6 +153,14 @@
             body.input.report();
         }
     }
+
+    /// Waits until the memory for the rest of the answer runs short.
+    pub(crate) async fn evicted(&self) {
+        match &self.body {
+            Some(body) => body.input.account.evicted().await,
+            None => std::future::pending().await,
+        }
+    }
 }
 
 struct Body {
--- a/src/process/relay.rs
+++ b/src/process/relay.rs
@@ -413,7 +413,11 @@
             if let Some(captured) = &mut captured {
                 captured.extend_from_slice(&chunk);
             }
-            self.send_chunk(sender, chunk).await?;
+            tokio::select! {
+                biased;
+                () = answer.evicted() => return Err(Cut),
+                sent = self.send_chunk(sender, chunk) => sent?,
+            }
         }
         self.transmit(&sender.peer, sender.end(sum.digest()));
         Ok(captured.map(Bytes::from))
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -4,6 +4,8 @@
 mod bound;
 #[path = "memory/budget.rs"]
 mod budget;
+#[path = "memory/release.rs"]
+mod release;
 #[path = "platform/site.rs"]
 #[expect(dead_code, reason = "the platform tests use the rest")]
 mod site;
