--- a/src/request/ingress/arrival.rs
+++ b/src/request/ingress/arrival.rs
@@ -12,10 +12,7 @@
         TokenQueue,
         charge_result, //
     },
-    leaving::{
-        check_time_left,
-        refuse_closed, //
-    },
+    leaving::refuse_closed,
 };
 use crate::{
     admission::Rank,
@@ -101,11 +98,6 @@
                 if arrival.leaving && !is_nested {
                     return Err(refuse_closed(env));
                 }
-                // If it is not nested after all, nothing else bounds how long it takes.
-                if arrival.leaving && !is_certain {
-                    let left = arrival.left.unwrap_or(context.left);
-                    check_time_left(now, left.min(context.left), env)?;
-                }
                 attributed_to = attempt;
                 is_chain_known = is_certain;
                 context
--- a/src/request/ingress/leaving.rs
+++ b/src/request/ingress/leaving.rs
@@ -168,21 +168,6 @@
     }
 }
 
-/// Refuses a call whose whole time does not fit before the node ends.
-pub(super) fn check_time_left(
-    now: Time,
-    needed: Span,
-    env: &mut Environment<'_>,
-) -> Result<(), Refusal> {
-    if now + needed <= env.ends_at {
-        return Ok(());
-    }
-    env.counts.add(Counter::DrainRefused(DrainRefusal::TooLate));
-    let left = now.until(env.ends_at);
-    let shortage = Some(Shortage { left, needed });
-    Err(Refusal::unsent(Code::Leaving).shortage(shortage))
-}
-
 /// Refuses a call because the node is about to stop.
 pub(super) fn refuse_closed(env: &mut Environment<'_>) -> Refusal {
     env.counts.add(Counter::DrainRefused(DrainRefusal::Closed));
