--- a/src/connection/link.rs
+++ b/src/connection/link.rs
@@ -287,8 +287,8 @@
 pub(crate) enum Incoming {
     /// An encoded frame.
     Frame(Bytes),
-    /// The answer to [`Outgoing::Ping`](super::queue::Outgoing::Ping). The peer's process gives it, unlike the
-    /// acknowledgements of its system.
+    /// The answer to [`Outgoing::Ping`](super::queue::Outgoing::Ping). The peer's process
+    /// gives it, unlike the acknowledgements of its system.
     Pong,
 }
 
--- a/src/process/server.rs
+++ b/src/process/server.rs
@@ -106,6 +106,7 @@
 
 /// Time allowed for a client to disconnect.
 const DISCONNECT_TIMEOUT: Span = Span::from_ms(500);
+
 /// Time for which an idle connection is kept open on the listeners that are not for
 /// callers.
 const KEEP_ALIVE: Span = Span::from_secs(75);
