--- a/review/standins-2/scenario.rs
+++ b/review/standins-2/scenario.rs
@@ -734,6 +734,11 @@
 
 // ---------------------------------------------------------------- servers
 
+/// Bytes of a long answer.
+const BIG_ANSWER: usize = 120_000;
+/// A server that garbles breaks off one answer in so many (0.022).
+const BROKEN_OFF: u64 = 46;
+
 /// A request that a server began to run.
 #[derive(Clone, Debug)]
 struct Run {
@@ -753,6 +758,9 @@
     sequence: AtomicU64,
     beating: AtomicBool,
     ended: AtomicBool,
+    /// Whether it breaks off answers, one in [`BROKEN_OFF`].
+    garbles: AtomicBool,
+    answers: AtomicU64,
     work: Duration,
     runs: Arc<Mutex<Vec<Run>>>,
     streams: Mutex<Vec<TcpStream>>,
@@ -781,6 +789,8 @@
             sequence: AtomicU64::new(0),
             beating: AtomicBool::new(true),
             ended: AtomicBool::new(false),
+            garbles: AtomicBool::new(false),
+            answers: AtomicU64::new(0),
             work,
             runs: runs.clone(),
             streams: Mutex::default(),
@@ -829,11 +839,7 @@
     }
 
     fn deregistration(&self) -> String {
-        let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
-        self.post(
-            "Deregister",
-            &format!(r#"{{"sequence":{sequence},"born":{}}}"#, self.born),
-        )
+        self.post("Deregister", "")
     }
 
     fn post(&self, what: &str, body: &str) -> String {
@@ -900,7 +906,20 @@
                 "bluebellswitch-request-id: {id}\r\nbluebellswitch-response-seal: {}.{id}\r\n",
                 self.id
             );
-            let body = format!("{} {id}", self.id);
+            let mut body = format!("{} {id}", self.id);
+            if request.target.starts_with("/big/") {
+                body.push(' ');
+                body.extend(std::iter::repeat_n('x', BIG_ANSWER));
+            }
+            let number = self.answers.fetch_add(1, Ordering::SeqCst);
+            if self.garbles.load(Ordering::SeqCst) && number % BROKEN_OFF == 0 {
+                let text = response(200, &head, &body);
+                let _ = writer.write_all(&text.as_bytes()[..text.len() * 7 / 8]);
+                let _ = writer.shutdown(std::net::Shutdown::Both);
+                self.world
+                    .note(&format!("server {} breaks off {id}", self.id));
+                return;
+            }
             if writer
                 .write_all(response(200, &head, &body).as_bytes())
                 .is_err()
@@ -971,7 +990,7 @@
 
 fn configuration(version: u64) -> String {
     format!(
-        r#"{{"version":{version},"resources":[{{"type":"routes","metadata":{{"name":"r-read"}},"spec":{{"host":"hulo.example","prefix":"/read/","kind":"safe","timeout_ms":6000,"target_latency_ms":1500,"priority":2,"service":"alpha","max_attempts":2,"auth_exempt":false}}}},{{"type":"routes","metadata":{{"name":"r-order"}},"spec":{{"host":"hulo.example","prefix":"/order/","kind":"unsafe","timeout_ms":6000,"target_latency_ms":1500,"priority":0,"service":"alpha","max_attempts":2,"auth_exempt":false}}}},{{"type":"services","metadata":{{"name":"alpha"}},"spec":{{"health_path":"/health","max_connections":400,"protocol":"h1","tls":false}}}},{{"type":"services","metadata":{{"name":"beta"}},"spec":{{"health_path":"/health","max_connections":400,"protocol":"h1","tls":false}}}},{{"type":"tenants","metadata":{{"name":"school"}},"spec":{{"api_keys":["key-one"],"priority":1,"rate_per_s":0,"burst":0}}}},{{"type":"limits","metadata":{{}},"spec":{{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}]}}"#
+        r#"{{"version":{version},"resources":[{{"type":"routes","metadata":{{"name":"r-read"}},"spec":{{"host":"hulo.example","prefix":"/read/","kind":"safe","timeout_ms":6000,"target_latency_ms":1500,"priority":2,"service":"alpha","max_attempts":2,"auth_exempt":false}}}},{{"type":"routes","metadata":{{"name":"r-order"}},"spec":{{"host":"hulo.example","prefix":"/order/","kind":"unsafe","timeout_ms":6000,"target_latency_ms":1500,"priority":0,"service":"alpha","max_attempts":2,"auth_exempt":false}}}},{{"type":"routes","metadata":{{"name":"r-big"}},"spec":{{"host":"hulo.example","prefix":"/big/","kind":"safe","timeout_ms":6000,"target_latency_ms":1500,"priority":2,"service":"alpha","max_attempts":2,"auth_exempt":false}}}},{{"type":"routes","metadata":{{"name":"r-look"}},"spec":{{"host":"hulo.example","prefix":"/look/","kind":"safe","timeout_ms":6000,"target_latency_ms":1500,"priority":2,"service":"beta","max_attempts":2,"auth_exempt":false}}}},{{"type":"services","metadata":{{"name":"alpha"}},"spec":{{"health_path":"/health","max_connections":400,"protocol":"h1","tls":false}}}},{{"type":"services","metadata":{{"name":"beta"}},"spec":{{"health_path":"/health","max_connections":400,"protocol":"h1","tls":false}}}},{{"type":"tenants","metadata":{{"name":"school"}},"spec":{{"api_keys":["key-one"],"priority":1,"rate_per_s":0,"burst":0}}}},{{"type":"limits","metadata":{{}},"spec":{{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}]}}"#
     )
 }
 
@@ -1165,8 +1184,8 @@
         node.start();
         world.note("node a1 started again");
     }
-    // The heartbeat has been under way for some four seconds.
-    let (arrival, control) = (acked + 4.0, leaving.control);
+    // The heartbeat has been under way for some two seconds.
+    let (arrival, control) = (acked + 2.0, leaving.control);
     let noted = world.clone();
     thread::spawn(move || {
         noted.sleep_until(arrival);
@@ -1250,6 +1269,99 @@
     site.judge_drain(world, &leaving, acked, &sent)
 }
 
+/// Requests that are sent together on kept connections, some of them to a server that breaks
+/// off long answers.
+fn cut_behind(world: &Arc<World>, dir: &Path, trouble: bool) -> i32 {
+    let site = Site::start(world, dir, 20);
+    if !await_service(world, &site.nodes.0, 20.0) {
+        eprintln!("the site did not come up");
+        return 2;
+    }
+    // Its own machine's server gets most of what the clients of that machine send.
+    let (node, faulty) = (site.nodes.0[1].clone(), site.servers[1].clone());
+    let begin = world.now() + 1.0;
+    let end = begin + 44.0;
+    let unanswered = Arc::new(Mutex::new(Vec::new()));
+    let answered = Arc::new(AtomicU64::new(0));
+    let mut clients = Vec::new();
+    for _ in 0..6 {
+        let (world, node) = (world.clone(), node.clone());
+        let (unanswered, answered) = (unanswered.clone(), answered.clone());
+        clients.push(thread::spawn(move || {
+            world.sleep_until(begin);
+            let mut kept: Option<TcpStream> = None;
+            while world.now() < end {
+                let limit = Duration::from_millis(6500);
+                let Some(mut stream) = kept.take().or_else(|| connect(node.ports.callers, limit))
+                else {
+                    continue;
+                };
+                let ids: Vec<_> = (0..5).map(|_| world.new_id()).collect();
+                let at = world.now();
+                let texts = ids.iter().enumerate().map(|(n, id)| {
+                    let path = if n == 0 { "/big/x" } else { "/look/x" };
+                    request_text(id, "GET", path, 6000, "")
+                });
+                let sent = stream
+                    .write_all(texts.collect::<String>().as_bytes())
+                    .is_ok();
+                let mut reader = BufReader::new(stream);
+                let mut statuses = Vec::new();
+                let mut closes = !sent;
+                while statuses.len() < ids.len()
+                    && let Some(answer) = read_answer(&mut reader)
+                {
+                    let connection = header(&answer.headers, "connection");
+                    closes |= connection.is_some_and(|v| v.eq_ignore_ascii_case("close"));
+                    statuses.push(answer.status);
+                }
+                world.note(&format!(
+                    "client {} sent {ids:?} at {at:.3}: {statuses:?}",
+                    node.name
+                ));
+                answered.fetch_add(statuses.len() as u64, Ordering::Relaxed);
+                if statuses.len() < ids.len() {
+                    let rest = ids[statuses.len()..].iter().cloned();
+                    // The first of them is the one that its server broke off, if it is long.
+                    let behind = rest.skip(usize::from(statuses.is_empty()));
+                    unanswered.lock().unwrap().extend(behind);
+                } else if !closes {
+                    kept = Some(reader.into_inner());
+                }
+                thread::sleep(Duration::from_millis(20));
+            }
+        }));
+    }
+    // Four times, for 4.1 s each.
+    for round in 0..4 {
+        world.sleep_until(begin + 2.0 + 10.0 * f64::from(round));
+        faulty.garbles.store(trouble, Ordering::SeqCst);
+        thread::sleep(Duration::from_millis(4100));
+        faulty.garbles.store(false, Ordering::SeqCst);
+    }
+    for client in clients {
+        let _ = client.join();
+    }
+    thread::sleep(Duration::from_millis(500));
+    let runs = site.runs.lock().unwrap().clone();
+    let unanswered = unanswered.lock().unwrap().clone();
+    let passed_on = unanswered
+        .iter()
+        .filter(|id| {
+            runs.iter()
+                .any(|run| run.id == **id && run.server == "i-b1" && run.finished)
+        })
+        .count();
+    let text = format!(
+        "answers {}; requests to the sound server i-b1 that were passed on, run to their end and got no answer, as their kept connection was closed: {passed_on} (more than 3 break the rule); not passed on: {}",
+        answered.load(Ordering::Relaxed),
+        unanswered.len() - passed_on
+    );
+    world.note(&text);
+    println!("{text}");
+    i32::from(passed_on > 3)
+}
+
 fn main() {
     let mut args = std::env::args().skip(1);
     let (Some(name), Some(dir)) = (args.next(), args.next()) else {
@@ -1273,6 +1385,7 @@
     });
     let code = match name.as_str() {
         "restart-after-leave" => restart_after_leave(&world, &work, trouble),
+        "cut-behind" => cut_behind(&world, &work, trouble),
         "forged-heartbeat" => forged_heartbeat(&world, &work, trouble),
         _ => 2,
     };
