Keep acknowledged departures in the store, across restarts of the node

What callers saw: a server said that it leaves, its node acknowledged that, and the node's process ended and started again, by a kill or in an ordinary upgrade. A heartbeat that had been sent before arrived late, and the new process took the server for ready. Requests reached it until it exited, and orders that ran there then ended with 502.

Cause: the acknowledgement was remembered by the process alone, and the new process took the first announcement that it received for the present state.

While the store doesn't hold it, all members are told; they pass it on to the next process, which keeps it until the upstream is known. A new process trusts announcements once its first write has shown that there is no departure, or the departure is restored, else after 4 s. That first write expects the departure's key to be absent, so that a start costs no call more.

A conflict whose row can't be read is an answer of its own now: the store is there, so it is no reason to doubt what it says afterwards.

Literals of `Call::Swap` in older tests got the new field, and tests/platform/site.rs restarts nodes; they check what they did before.

--- a/src/connection/message.rs
+++ b/src/connection/message.rs
@@ -19,6 +19,7 @@
     frame,
     lease,
     member,
+    node,
     quota,
     record,
     suspect, //
@@ -46,6 +47,8 @@
     Record(record::Message),
     /// Requests under which upstreams end.
     Suspect(suspect::Message),
+    /// Acknowledged departures of upstreams.
+    Departure(node::DepartureMessage),
 }
 
 impl Message {
--- a/src/process/announce.rs
+++ b/src/process/announce.rs
@@ -5,6 +5,10 @@
 //! them by life (one run of the upstream) and then by sequence number. Once an
 //! upstream has announced [`State::Gone`], it stays gone for that life, so a
 //! delayed announcement can't make it ready again.
+//!
+//! A process that has just started doesn't know what earlier ones have acknowledged, and
+//! the first announcement that it receives may be a delayed one. Until it knows of every
+//! [`Departure`], it takes an upstream for ready only after [`MAX_DELAY`].
 
 #![warn(clippy::arithmetic_side_effects, clippy::indexing_slicing)]
 
@@ -13,7 +17,10 @@
     net::SocketAddr, //
 };
 
-use serde::Deserialize;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
@@ -35,6 +42,10 @@
 /// connection reveals a failure earlier.
 const MAX_SILENT_HEARTBEATS: u64 = 4;
 
+/// Maximum delay of an announcement. One that is received later than this after the start
+/// of the process was sent after it.
+pub const MAX_DELAY: Span = Span::from_secs(4);
+
 /// Highest sequence number at which an announcement is taken to come from an
 /// upstream that has just started.
 const MAX_INITIAL_SEQUENCE: u64 = 3;
@@ -50,7 +61,7 @@
 const MAX_LOGGED_PATHS: usize = 64;
 
 /// State that an upstream announces.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum State {
     /// It accepts requests.
@@ -129,6 +140,32 @@
     }
 }
 
+/// An announcement by which an upstream leaves. Once acknowledged, it also binds the next
+/// process of the node.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Departure {
+    /// The name that the upstream gives itself.
+    pub upstream: String,
+    /// Its life, if announced.
+    pub life: Option<u64>,
+    /// The sequence number of the announcement, if any.
+    pub sequence: Option<u64>,
+    /// The announced state: any but [`State::Ready`].
+    pub state: State,
+}
+
+impl Departure {
+    /// Returns an identifier of the upstream in this life.
+    pub fn id(&self) -> id::Upstream {
+        upstream_id(&self.upstream, self.life.unwrap_or_default())
+    }
+
+    /// Whether both are departures of one life of an upstream.
+    pub fn is_same_life(&self, other: &Self) -> bool {
+        self.upstream == other.upstream && self.life == other.life
+    }
+}
+
 /// Result of handling an announcement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -167,9 +204,12 @@
     address: SocketAddr,
     heartbeat: Span,
     upstream: Option<Upstream>,
-    /// The [`State::Gone`] announcement of an upstream of which no other announcement
-    /// was accepted.
-    last_gone: Option<Announcement>,
+    /// The departure of an upstream of which no other announcement was accepted.
+    last_departure: Option<Departure>,
+    /// When the last announcement was accepted.
+    last_announced: Time,
+    /// An upstream counts as ready only if it has announced so since then.
+    trusted_from: Time,
     last_heard: Time,
     /// Paths of refused announcements that were reported.
     refused_paths: BTreeSet<String>,
@@ -178,10 +218,14 @@
 impl Upstream {
     /// Returns an identifier of this upstream in this life.
     pub fn id(&self) -> id::Upstream {
-        id::Upstream(xxh3_64_with_seed(self.name.as_bytes(), self.life))
+        upstream_id(&self.name, self.life)
     }
 }
 
+fn upstream_id(name: &str, life: u64) -> id::Upstream {
+    id::Upstream(xxh3_64_with_seed(name.as_bytes(), life))
+}
+
 impl UpstreamTracker {
     /// Creates a tracker for the upstream at this address.
     pub fn new(pool: id::Pool, address: SocketAddr, heartbeat: Span) -> Self {
@@ -190,7 +234,9 @@
             address,
             heartbeat,
             upstream: None,
-            last_gone: None,
+            last_departure: None,
+            last_announced: Time::ZERO,
+            trusted_from: Time::ZERO,
             last_heard: Time::ZERO,
             refused_paths: BTreeSet::new(),
         }
@@ -208,9 +254,78 @@
 
     /// Reports whether the upstream accepts requests.
     pub fn is_ready(&self) -> bool {
+        let has_announced_so = self
+            .upstream
+            .as_ref()
+            .is_some_and(|upstream| upstream.state == State::Ready);
+        has_announced_so && self.last_announced >= self.trusted_from
+    }
+
+    /// Reports whether the upstream has announced that it leaves.
+    pub fn is_leaving(&self) -> bool {
         self.upstream
             .as_ref()
-            .is_some_and(|upstream| upstream.state == State::Ready)
+            .is_some_and(|upstream| upstream.state != State::Ready)
+    }
+
+    /// Returns the departure of the upstream, if it has announced one.
+    pub fn departure(&self) -> Option<Departure> {
+        let Some(upstream) = &self.upstream else {
+            return self.last_departure.clone();
+        };
+        self.is_leaving().then(|| Departure {
+            upstream: upstream.name.clone(),
+            life: Some(upstream.life),
+            sequence: Some(upstream.sequence),
+            state: upstream.state,
+        })
+    }
+
+    /// Distrusts announcements that may have been sent before the process started, at
+    /// `started`.
+    #[expect(clippy::arithmetic_side_effects, reason = "times saturate")]
+    pub fn distrust_delayed(&mut self, started: Time) {
+        self.trusted_from = started + MAX_DELAY;
+    }
+
+    /// Trusts announcements however late they may be, as all departures are known.
+    pub fn trust_delayed(&mut self) {
+        self.trusted_from = Time::ZERO;
+    }
+
+    /// Handles a departure that an earlier process of the node acknowledged.
+    pub fn restore(&mut self, departure: Departure) {
+        let Some(known) = &mut self.upstream else {
+            self.restore_unknown(departure);
+            return;
+        };
+        let life = departure.life.unwrap_or_default();
+        let is_same_life = known.name == departure.upstream && known.life == life;
+        let sequence = departure.sequence.unwrap_or_default();
+        if is_same_life && (departure.state == State::Gone || known.sequence <= sequence) {
+            known.state = departure.state;
+            known.sequence = known.sequence.max(sequence);
+        } else if known.life < life {
+            self.upstream = None;
+            self.restore_unknown(departure);
+        }
+    }
+
+    /// Restores a departure while no upstream is known.
+    fn restore_unknown(&mut self, departure: Departure) {
+        match departure.life {
+            Some(life) => {
+                self.upstream = Some(Upstream {
+                    name: departure.upstream,
+                    life,
+                    sequence: departure.sequence.unwrap_or_default(),
+                    state: departure.state,
+                    slots: None,
+                    warmup: Span::ZERO,
+                });
+            }
+            None => self.last_departure = Some(departure),
+        }
     }
 
     /// Handles an announcement.
@@ -227,7 +342,12 @@
         }
         match &self.upstream {
             None if announcement.state == State::Gone => {
-                self.last_gone = Some(announcement.clone());
+                self.last_departure = Some(Departure {
+                    upstream: announcement.upstream.clone(),
+                    life: announcement.life,
+                    sequence: announcement.sequence,
+                    state: announcement.state,
+                });
                 Verdict::Old
             }
             None if self.is_of_ended_life(announcement) => Verdict::Old,
@@ -248,7 +368,7 @@
     /// with a low or no sequence number is taken to be of a later life.
     fn is_of_ended_life(&self, announcement: &Announcement) -> bool {
         let Some(gone) = self
-            .last_gone
+            .last_departure
             .as_ref()
             .filter(|gone| gone.upstream == announcement.upstream)
         else {
@@ -319,6 +439,7 @@
             warmup: announcement.warmup,
         };
         self.last_heard = now;
+        self.last_announced = now;
         let is_same = previous.is_some_and(|previous| {
             previous.state == upstream.state && previous.slots == upstream.slots
         });
--- a/src/process/beside.rs
+++ b/src/process/beside.rs
@@ -14,7 +14,7 @@
 use crate::{
     announce::{
         Announcement,
-        Upstream,
+        State,
         Verdict, //
     },
     carrier::Carrier,
@@ -23,6 +23,7 @@
         Span,
         Time, //
     },
+    directory::Inquiry,
     inbound::End,
     interface::AnnouncementRequest,
     metric::Counter,
@@ -33,6 +34,9 @@
 const MAX_ANNOUNCEMENT_BYTES: usize = 64 << 10;
 /// Maximum time for the body of an announcement to arrive.
 const READ_TIMEOUT: Span = Span::from_secs(1);
+/// How long the acknowledgement of a departure waits for the store. An upstream waits for
+/// a second, and whoever is told later is told by this node.
+const STORE_TIMEOUT: Span = Span::from_ms(600);
 /// Number of consecutive refused connections after which an upstream counts as gone
 /// until its next announcement. A single one may be refused because the upstream has
 /// too many connections.
@@ -63,7 +67,7 @@
         body: &body,
     };
     match (carrier.interface.announcement)(notice) {
-        Ok(announcement) => respond(&carrier, &announcement),
+        Ok(announcement) => respond(&carrier, &announcement).await,
         Err(error) => {
             carrier.count(Counter::AnnouncementRefused);
             let mut upstream_tracker = carrier.upstream_tracker.borrow_mut();
@@ -75,10 +79,16 @@
     }
 }
 
-fn respond(carrier: &Carrier, announcement: &Announcement) -> Response<BoxBody> {
+/// Handles and acknowledges an announcement. That of a departure is acknowledged once the
+/// store holds it, or [`STORE_TIMEOUT`] later.
+async fn respond(carrier: &Carrier, announcement: &Announcement) -> Response<BoxBody> {
     match carrier.handle_announcement(announcement) {
         Verdict::Foreign => empty_response(StatusCode::NOT_FOUND),
         Verdict::Changed | Verdict::Same | Verdict::Old => {
+            if announcement.state != State::Ready {
+                let stored = carrier.departure_stored();
+                let _ = tokio::time::timeout(STORE_TIMEOUT.to_std(), stored).await;
+            }
             let mut response = Response::build(StatusCode::OK);
             response.insert_header(("content-type", "application/json"));
             response.body("{}").map_into_boxed_body()
@@ -97,14 +107,7 @@
         let mut upstream_tracker = self.upstream_tracker.borrow_mut();
         let verdict = upstream_tracker.handle(now, announcement);
         let ready = upstream_tracker.is_ready();
-        let slots = upstream_tracker
-            .upstream()
-            .and_then(|upstream| upstream.slots);
-        let warmup = upstream_tracker.upstream().map(|upstream| upstream.warmup);
-        let life = upstream_tracker.upstream().map(Upstream::id);
-        let name = upstream_tracker
-            .upstream()
-            .map(|upstream| upstream.name.clone());
+        let departure = upstream_tracker.departure();
         drop(upstream_tracker);
         if verdict != Verdict::Same {
             log::info!(
@@ -115,20 +118,44 @@
         }
         if matches!(verdict, Verdict::Changed | Verdict::Same) {
             self.connect_failures.set(0);
-            *self.target.borrow_mut() = name;
-            if let Some(life) = life {
-                self.on(Event::UpstreamStarted(life));
-            }
-            self.on(Event::UpstreamLeaving(!ready));
-            self.on(Event::UpstreamCapacity(slots));
-            self.set_upstream_ready(ready);
-            if let Some(remaining) = warmup {
-                self.on(Event::UpstreamWarmup(remaining));
-            }
+            self.report_upstream();
+        }
+        if let Some(departure) = departure.filter(|_| announcement.state != State::Ready) {
+            self.on(Event::UpstreamDeparted(departure));
         }
         verdict
     }
 
+    /// Handles what the store says of departures that earlier processes acknowledged.
+    pub(crate) fn restore_departure(&self, inquiry: Inquiry) {
+        let mut upstream_tracker = self.upstream_tracker.borrow_mut();
+        if let Some(departure) = inquiry.departure {
+            upstream_tracker.restore(departure);
+        }
+        if inquiry.is_conclusive {
+            upstream_tracker.trust_delayed();
+        }
+        drop(upstream_tracker);
+        self.report_upstream();
+    }
+
+    /// Tells the decision logic what is known of the upstream, if anything is.
+    fn report_upstream(&self) {
+        let upstream_tracker = self.upstream_tracker.borrow();
+        let Some(upstream) = upstream_tracker.upstream().cloned() else {
+            return;
+        };
+        let ready = upstream_tracker.is_ready();
+        let leaving = upstream_tracker.is_leaving();
+        drop(upstream_tracker);
+        *self.target.borrow_mut() = Some(upstream.name.clone());
+        self.on(Event::UpstreamStarted(upstream.id()));
+        self.on(Event::UpstreamLeaving(leaving));
+        self.on(Event::UpstreamCapacity(upstream.slots));
+        self.set_upstream_ready(ready);
+        self.on(Event::UpstreamWarmup(upstream.warmup));
+    }
+
     /// Tells the decision logic whether the upstream accepts requests, if that changed.
     fn set_upstream_ready(&self, ready: bool) {
         if self.reported_ready.replace(ready) != ready {
--- a/src/process/carrier.rs
+++ b/src/process/carrier.rs
@@ -360,6 +360,18 @@
         }
     }
 
+    /// Whether the store may hold departures that earlier processes acknowledged.
+    pub(crate) fn inquires_departures(&self) -> bool {
+        self.interface.configuration.is_some() && self.store.is_some()
+    }
+
+    /// Waits until the store holds the last departure that was recorded.
+    pub(crate) async fn departure_stored(&self) {
+        while !self.core().has_stored_departure() {
+            self.changed.notified().await;
+        }
+    }
+
     /// Whether the service last announced that it is leaving.
     pub(crate) fn is_service_leaving(&self) -> bool {
         self.leaving.get()
@@ -594,6 +606,8 @@
             Action::Store(number, call) => self.query_store(number, call),
             Action::Dial(peer) => self.dial(&peer),
             Action::Ping(peer) => self.links.ping(&peer),
+            Action::RestoreDeparture(inquiry) => self.restore_departure(inquiry),
+            Action::DepartureStored => self.changed.notify_waiters(),
             Action::Log(event) => log_event(&event),
             Action::Stop => {
                 self.stopped.set(true);
@@ -880,6 +894,15 @@
         LogEvent::UpstreamLeaving { by_hint } => {
             log::info!(by_hint = *by_hint; "the upstream says in its answers that it leaves")
         }
+        LogEvent::DeparturesKnown(inquiry) => log::info!(
+            upstream = inquiry.departure.as_ref().map_or("", |departure| &departure.upstream),
+            life = inquiry.departure.as_ref().and_then(|departure| departure.life),
+            conclusive = inquiry.is_conclusive;
+            "the store was asked for an earlier departure of the upstream"
+        ),
+        LogEvent::DepartureUnstored(upstream) => log::warn!(
+            upstream:% = upstream; "the store does not hold a departure yet; the nodes are told"
+        ),
         LogEvent::DrainEnded(open) => log::warn!(
             waiting = open.waiting, sent = open.sent, begun = open.begun, answering = open.answering;
             "the time for draining is over"
--- a/src/process/directory.rs
+++ b/src/process/directory.rs
@@ -17,6 +17,7 @@
 //! living node replaces whatever another writer leaves under its name; where that claims a
 //! higher incarnation, its own record refutes it, so that the lower one is accepted again.
 
+mod departure;
 mod listing;
 mod registration;
 mod repair;
@@ -28,8 +29,16 @@
     Serialize, //
 };
 
-use self::repair::Repair;
+pub use self::departure::{
+    DEPARTURE_PREFIX,
+    Inquiry, //
+};
+use self::{
+    departure::Departures,
+    repair::Repair, //
+};
 use crate::{
+    announce::Departure,
     clock::{
         Span,
         Time, //
@@ -100,6 +109,8 @@
     Watch,
     /// Maintains this node's own record.
     Register,
+    /// Maintains the departures of this node's upstream.
+    Departure,
 }
 
 /// Schedules a series of store calls of which one at most is in flight.
@@ -237,6 +248,7 @@
     me: Peer,
     registration: Registration,
     listing: Listing,
+    departures: Departures,
     repair: Repair,
     /// The highest incarnation under this node's name that does not exist.
     refutes: Option<Incarnation>,
@@ -271,6 +283,7 @@
                 invalid: Vec::new(),
                 reported: Reported::default(),
             },
+            departures: Departures::new(&me.instance),
             repair: Repair::new(),
             refutes: None,
             leaving: false,
@@ -292,6 +305,34 @@
         self.schedule_registration(now);
     }
 
+    /// Records a departure of the upstream that is about to be acknowledged.
+    pub fn record_departure(&mut self, now: Time, departure: Departure) {
+        self.departures.record(now, departure);
+    }
+
+    /// Handles an upstream that accepts requests, after a departure or without one.
+    pub fn retract_departure(&mut self) {
+        self.departures.retract();
+    }
+
+    /// Whether the store holds every departure that was recorded, as far as this node
+    /// knows.
+    pub fn has_stored_departure(&self) -> bool {
+        self.departures.is_stored()
+    }
+
+    /// Returns the departure of which the other nodes are to be told now, because the
+    /// store does not hold it yet.
+    pub fn take_departure_report(&mut self, now: Time) -> Option<Departure> {
+        self.departures.take_report(now)
+    }
+
+    /// Takes what the store says about departures that earlier processes of this node
+    /// acknowledged, once it is known.
+    pub fn take_inquiry(&mut self) -> Option<Inquiry> {
+        self.departures.take_inquiry()
+    }
+
     /// Whether this node has left and holds no lease in the store any more, as far
     /// as it knows.
     pub fn has_left(&self) -> bool {
@@ -398,6 +439,7 @@
         let lapsed_at = self.listing.lapsed_at.values().min();
         let grace_end = lapsed_at.map_or(Time::NEVER, |at| *at + LAPSE_GRACE);
         let calls = self.registration.task.due().min(self.listing.task.due());
+        let calls = calls.min(self.departures.due());
         // A write in flight may be older than the entry that is to be replaced.
         let repair = match self.registration.task.in_flight {
             true => Time::NEVER,
@@ -428,6 +470,9 @@
                 None => self.registration.task.next_at = now + RENEWAL_INTERVAL,
             }
         }
+        if let Some(call) = self.departures.next_call(now) {
+            calls.push((Purpose::Departure, call));
+        }
         if self.listing.task.due() <= now && !self.leaving {
             self.listing.task.begin(now);
             calls.push((
@@ -475,6 +520,7 @@
                 expect,
                 value: Some(value),
                 lease,
+                unless: self.departures.expected_absent().map(str::to_owned),
             },
             None => Call::Put { key, value, lease },
         })
@@ -484,8 +530,13 @@
     pub fn handle_answer(&mut self, now: Time, purpose: Purpose, answer: Answer) -> Vec<Change> {
         match purpose {
             Purpose::Register => {
+                self.inquire(now, &answer);
                 let refuted = self.registration.handle_answer(now, answer, self.leaving);
                 self.refutes = self.refutes.max(refuted);
+                // This process writes without knowing what it replaces.
+                if self.registration.expected_revision.is_none() {
+                    self.departures.read_entry(now);
+                }
                 let stored = self.registration.stored.as_ref();
                 if !self.registration.task.is_failing()
                     && stored.is_some_and(|stored| *stored != self.me)
@@ -499,6 +550,29 @@
                 self.check_own_record(now);
                 changes
             }
+            Purpose::Departure => {
+                self.departures.handle_answer(now, answer);
+                Vec::new()
+            }
+        }
+    }
+
+    /// Learns from an answer about this node's record whether an earlier process has
+    /// acknowledged a departure.
+    fn inquire(&mut self, now: Time, answer: &Answer) {
+        let Some(expected) = self.registration.expected_revision else {
+            return;
+        };
+        match answer {
+            Answer::Swapped(_) => self.departures.handle_absent(),
+            // The record is as expected, so the departure is not.
+            Answer::Conflict(present)
+                if present.as_ref().map_or(Revision::default(), |e| e.revision) == expected =>
+            {
+                self.departures.read_entry(now);
+            }
+            Answer::Lost => self.departures.handle_lost(),
+            _ => {}
         }
     }
 
--- a/src/process/introducer.rs
+++ b/src/process/introducer.rs
@@ -133,6 +133,7 @@
                 expect: self.replaces,
                 value: Some(value),
                 lease,
+                unless: None,
             },
         })
     }
--- a/src/process/lease/base.rs
+++ b/src/process/lease/base.rs
@@ -170,6 +170,7 @@
                 expect: self.own_leases.alive_revision,
                 value: Some(lease.to_string()),
                 lease: Some(*lease),
+                unless: None,
             },
             Step::WriteNode(lease, successor) => Call::Swap {
                 key: node_key(&self.local),
@@ -183,6 +184,7 @@
                     lease: *lease,
                 }),
                 lease: Some(*lease),
+                unless: None,
             },
             Step::ReadNode => Call::Get {
                 key: node_key(&self.local),
--- a/src/process/lease/claim.rs
+++ b/src/process/lease/claim.rs
@@ -198,6 +198,7 @@
                     write_id: claim.write_id,
                 }),
                 lease: None,
+                unless: None,
             },
         };
         // Once the write may have taken effect, the store lets others have the
--- a/src/process/member/seed.rs
+++ b/src/process/member/seed.rs
@@ -125,6 +125,7 @@
             expect: self.revision,
             value: Some(value),
             lease: Some(lease),
+            unless: None,
         })
     }
 
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -9,7 +9,10 @@
 mod rights;
 
 pub(crate) use self::fleet::WATCHER_AND_SEED_SALT;
-pub use self::listed::Bounds;
+pub use self::listed::{
+    Bounds,
+    DepartureMessage, //
+};
 
 use std::{
     collections::BTreeMap,
@@ -21,6 +24,7 @@
 
 use crate::{
     admission::seen::Levels,
+    announce::Departure,
     backpressure::{
         self,
         Signal, //
@@ -32,6 +36,7 @@
     code::Code,
     contact,
     context::Context,
+    directory::Inquiry,
     document,
     event::Load,
     feed,
@@ -129,6 +134,11 @@
         /// through a previous incarnation of this node.
         by_hint: bool,
     },
+    /// What the store says of departures that earlier processes acknowledged.
+    DeparturesKnown(Inquiry),
+    /// The store does not hold an acknowledged departure of this upstream yet, so the
+    /// other nodes are told of it.
+    DepartureUnstored(id::Upstream),
     /// The local upstream's process ended while it ran these requests.
     UpstreamCrashed(Vec<Work>),
     /// This node told the others of its pool about requests under which upstreams end.
@@ -261,6 +271,8 @@
     /// The upstream announced whether it is shutting down. The absence of an
     /// announcement implies neither.
     UpstreamLeaving(bool),
+    /// The upstream announced a departure that is about to be acknowledged.
+    UpstreamDeparted(Departure),
     /// A datagram arrived.
     Datagram(SocketAddr, Message),
     /// The store answered the call with this identifier.
@@ -323,6 +335,10 @@
     Dial(id::Instance),
     /// Ask a member for a sign of life over the link to it, if one is open.
     Ping(id::Instance),
+    /// Apply what the store says of departures that earlier processes acknowledged.
+    RestoreDeparture(Inquiry),
+    /// The store holds the departure that was acknowledged last.
+    DepartureStored,
     /// Log a state change of this node.
     Log(LogEvent),
     /// Draining is complete: the process may exit.
@@ -351,6 +367,7 @@
             Self::UpstreamSignal(..) => "UpstreamSignal",
             Self::UpstreamStarted(_) => "UpstreamStarted",
             Self::UpstreamLeaving(_) => "UpstreamLeaving",
+            Self::UpstreamDeparted(_) => "UpstreamDeparted",
             Self::Datagram(..) => "Datagram",
             Self::StoreAnswer(..) => "StoreAnswer",
             Self::Survey => "Survey",
@@ -376,6 +393,8 @@
             Self::Store(..) => "Store",
             Self::Dial(_) => "Dial",
             Self::Ping(_) => "Ping",
+            Self::RestoreDeparture(_) => "RestoreDeparture",
+            Self::DepartureStored => "DepartureStored",
             Self::Log(_) => "Log",
             Self::Stop => "Stop",
         }
@@ -576,8 +595,12 @@
                 self.on_upstream_event(now, inbound::Event::Signal { signal, started }, out);
             }
             Event::UpstreamLeaving(leaving) => {
+                if !leaving {
+                    self.on_return();
+                }
                 self.run_proxy(now, inbound::Event::Leaving(leaving), out)
             }
+            Event::UpstreamDeparted(departure) => self.on_departure(now, departure, out),
             Event::UpstreamStarted(upstream) => {
                 self.on_upstream_event(now, inbound::Event::Upstream(upstream), out);
             }
@@ -826,6 +849,7 @@
             (Message::Suspect(message), _) => {
                 self.run_proxy(now, inbound::Event::Suspects(message), out);
             }
+            (Message::Departure(message), _) => self.on_departure_message(now, message),
             (Message::Record(message), _) => self.on_record_message(now, message, out),
         }
     }
--- a/src/process/node/listed.rs
+++ b/src/process/node/listed.rs
@@ -1,6 +1,7 @@
 //! Discovery through the store: nodes find members and configuration in the store
 //! and share rates without gossip, seat leases or idempotency records.
 
+mod departures;
 mod inquiry;
 mod tokens;
 mod unlisted;
@@ -17,6 +18,7 @@
     },
 };
 
+pub use self::departures::Message as DepartureMessage;
 use self::unlisted::Unlisted;
 use super::{
     Action,
@@ -136,6 +138,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum PendingCall {
     Register,
+    Departure,
     Introduce,
     Follow(Query),
     Check(Query),
@@ -402,9 +405,16 @@
                         .pending_calls
                         .insert(number, PendingCall::Register);
                 }
+                Purpose::Departure => {
+                    let number = self.call_store(StoreCaller::Discovery, call, out);
+                    discovery
+                        .pending_calls
+                        .insert(number, PendingCall::Departure);
+                }
                 Purpose::Watch => discovery.subscriber.request(Topic::Members, call.after()),
             }
         }
+        self.tick_departures(now, discovery, out);
         if let Some(call) = discovery.follower.tick(now) {
             let topic = Topic::Configuration;
             discovery.subscriber.request(topic, call.after());
@@ -497,6 +507,15 @@
                     .directory
                     .handle_answer(now, Purpose::Register, answer);
             }
+            Some(PendingCall::Departure) => {
+                let was_stored = discovery.directory.has_stored_departure();
+                discovery
+                    .directory
+                    .handle_answer(now, Purpose::Departure, answer);
+                if !was_stored && discovery.directory.has_stored_departure() {
+                    out.push(Action::DepartureStored);
+                }
+            }
             Some(PendingCall::Introduce) => discovery.introduction.handle_answer(now, answer),
             Some(PendingCall::Follow(query)) => self.handle_watch_answer(now, query, answer, out),
             Some(PendingCall::Check(query)) => self.handle_check_answer(now, query, answer, out),
@@ -622,6 +641,7 @@
                     if let Some(discovery) = &mut self.discovery {
                         discovery.unlisted.forget(&peer.instance);
                     }
+                    self.pass_on_departure(now, &peer, out);
                     self.members.insert(peer);
                 }
                 Change::Removed(name) if name == self.identity.peer.instance => {}
@@ -759,6 +779,7 @@
             discovery.contact.forget(Topic::Members);
             now
         });
-        discovery.directory.has_left() || now.since(left) >= DEREGISTER_TIMEOUT
+        let is_done = discovery.directory.has_left() && discovery.directory.has_stored_departure();
+        is_done || now.since(left) >= DEREGISTER_TIMEOUT
     }
 }
--- a/src/process/server.rs
+++ b/src/process/server.rs
@@ -298,6 +298,10 @@
         }
         core.set_scheduling(settings.scheduling);
         let carrier = Carrier::new(me, settings, interface, core, datagrams, store);
+        if carrier.inquires_departures() {
+            let mut upstream_tracker = carrier.upstream_tracker.borrow_mut();
+            upstream_tracker.distrust_delayed(Clock.now());
+        }
         let mut server = Self {
             carrier,
             addresses,
--- a/src/process/store.rs
+++ b/src/process/store.rs
@@ -51,6 +51,10 @@
         value: Option<String>,
         /// The lease with which the value expires, if any.
         lease: Option<Lease>,
+        /// Another key, which must not exist. If it does, the answer is
+        /// [`Answer::Conflict`] as well.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        unless: Option<String>,
     },
     /// Creates a lease.
     Grant {
@@ -217,7 +221,8 @@
     Compacted,
     /// The write succeeded, at this revision.
     Swapped(Revision),
-    /// The revision was not the expected one. Holds the current value.
+    /// The revision was not the expected one, or a key exists that must not. Holds the
+    /// current value.
     Conflict(Option<Entry>),
     /// A lease was created or renewed.
     Leased {
@@ -230,6 +235,8 @@
     Expired,
     /// A watch timed out without a newer revision, or a lease was revoked.
     Quiet,
+    /// The call had no effect, and what the key holds cannot be read.
+    Unreadable,
     /// No valid response: a write may or may not have taken effect.
     Lost,
 }
--- a/src/request/inbound.rs
+++ b/src/request/inbound.rs
@@ -250,6 +250,8 @@
     start_limits: StartLimits,
     /// The upstream process, zero while it is unknown, and since when it is known.
     upstream: (id::Upstream, Time),
+    /// Hints of departures of upstreams that were not known yet.
+    early_hints: Vec<Hint>,
     /// When the last event was handled.
     last_event: Time,
     controller: Controller,
@@ -282,6 +284,7 @@
             cold_tolerance: warmup::Tolerance::default(),
             start_limits: StartLimits::default(),
             upstream: (id::Upstream::default(), Time::ZERO),
+            early_hints: Vec::new(),
             last_event: Time::ZERO,
             controller: Controller::default(),
             history: AttemptHistory::default(),
@@ -471,7 +474,7 @@
                 self.update_cold_status(out, |cold| cold.report(now, left));
             }
             Event::Signal { signal, started } => self.on_signal(now, started, signal, world, out),
-            Event::Upstream(upstream) => self.on_upstream(now, upstream),
+            Event::Upstream(upstream) => self.on_upstream(now, upstream, world, out),
             Event::Hint(hint) => self.on_hint(now, hint, world, out),
             Event::Suspects(message) => self.suspects.learn(now, &message),
             Event::Leaving(leaving) => self.upstream_state.announced_leaving = leaving,
--- a/src/request/inbound/signal.rs
+++ b/src/request/inbound/signal.rs
@@ -21,17 +21,34 @@
     metric::Counter, //
 };
 
+/// Maximum number of hints that are kept until their upstream is known.
+const MAX_EARLY_HINTS: usize = 8;
+
 /// Minimum time between two reports of a changed limit.
 const LIMIT_REPORT_INTERVAL: Span = Span::from_secs(1);
 
 impl Proxy {
     /// Drops what an earlier process of the upstream signalled when a new one is there.
-    pub(super) fn on_upstream(&mut self, now: Time, upstream: id::Upstream) {
-        if self.upstream.0 != upstream {
-            self.upstream = (upstream, now);
-            self.start_limits.throttle.reset();
-            self.upstream_state.departing = false;
-            self.upstream_state.announced_leaving = false;
+    pub(super) fn on_upstream(
+        &mut self,
+        now: Time,
+        upstream: id::Upstream,
+        world: &mut World<'_>,
+        out: &mut Vec<Action>,
+    ) {
+        if self.upstream.0 == upstream {
+            return;
+        }
+        self.upstream = (upstream, now);
+        self.start_limits.throttle.reset();
+        self.upstream_state.departing = false;
+        self.upstream_state.announced_leaving = false;
+        if self
+            .early_hints
+            .iter()
+            .any(|hint| hint.upstream == upstream)
+        {
+            self.set_leaving(now, true, world, out);
         }
     }
 
@@ -62,8 +79,12 @@
         world: &mut World<'_>,
         out: &mut Vec<Action>,
     ) {
-        let is_known = hint.upstream != id::Upstream::default();
-        if is_known && hint.upstream == self.upstream.0 {
+        if hint.upstream == id::Upstream::default() {
+            return;
+        }
+        if hint.upstream != self.upstream.0 {
+            self.keep_early_hint(hint);
+        } else {
             self.start_limits.throttle.apply_hint(now, hint.limit);
             self.report_limit(now, self.limit(), out);
             if hint.leaving {
@@ -72,6 +93,18 @@
         }
     }
 
+    /// Keeps the hint of a departure. It may arrive before the delayed announcement of its
+    /// upstream.
+    fn keep_early_hint(&mut self, hint: Hint) {
+        if !hint.leaving || self.early_hints.contains(&hint) {
+            return;
+        }
+        if self.early_hints.len() == MAX_EARLY_HINTS {
+            self.early_hints.remove(0);
+        }
+        self.early_hints.push(hint);
+    }
+
     /// The limit that is enforced now.
     fn limit(&self) -> Limit {
         let limit = self.start_limits.throttle.limit();
--- a/src/request/ingress.rs
+++ b/src/request/ingress.rs
@@ -344,6 +344,27 @@
         theirs.map(|(request, _)| *request).collect()
     }
 
+    /// Records a hint that another node sent by itself, without a report on an attempt.
+    pub fn record_hint(
+        &mut self,
+        now: Time,
+        peer: &id::Instance,
+        incarnation: id::Incarnation,
+        hint: Hint,
+    ) {
+        self.hints.record(now, peer, incarnation, Some(hint), false);
+    }
+
+    /// Returns the hint that this incarnation of a node must get ahead of an attempt.
+    pub fn pending_hint(
+        &self,
+        now: Time,
+        peer: &id::Instance,
+        incarnation: id::Incarnation,
+    ) -> Option<Hint> {
+        self.hints.pending(now, peer, incarnation)
+    }
+
     /// Records that the caller was given the head of its response.
     pub fn record_delivered(&mut self, call: id::Call) {
         self.unanswered.remove(call);
--- a/src/standin/driver.rs
+++ b/src/standin/driver.rs
@@ -448,6 +448,7 @@
                 expect,
                 value,
                 lease,
+                unless: None,
             },
         );
         self.notify();
@@ -680,7 +681,10 @@
                 self.planted(node, &peer, &frame);
                 self.send(node, &peer, frame);
             }
-            Action::Dial(_) | Action::Log(_) => {}
+            Action::Dial(_)
+            | Action::Log(_)
+            | Action::RestoreDeparture(_)
+            | Action::DepartureStored => {}
             Action::Ping(peer) => self.ping(node, peer),
             Action::Deliver(call, request) if self.loses_answer() => {
                 self.ledger.delivered(self.now, call.0 as usize, request);
--- a/src/standin/keyvalue.rs
+++ b/src/standin/keyvalue.rs
@@ -95,7 +95,13 @@
                 expect,
                 value,
                 lease,
-            } => self.swap(key, *expect, value.clone(), *lease),
+                unless,
+            } => {
+                if unless.as_ref().is_some_and(|key| self.get(key).is_some()) {
+                    return Some(Answer::Conflict(self.get(key)));
+                }
+                self.swap(key, *expect, value.clone(), *lease)
+            }
             Call::Grant { ttl } => self.grant(now, *ttl),
             Call::Renew { lease } => self.renew(now, *lease),
             Call::Revoke { lease } => {
--- a/src/version/commit.rs
+++ b/src/version/commit.rs
@@ -206,6 +206,7 @@
             expect: revision,
             value: Some(value),
             lease: None,
+            unless: None,
         };
         self.state = State::Writing(Box::new(PendingWrite {
             base: present.version,
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -9,6 +9,8 @@
 mod contact;
 #[path = "fleet/delta.rs"]
 mod delta;
+#[path = "fleet/departure.rs"]
+mod departure;
 #[path = "fleet/directory.rs"]
 mod directory;
 #[path = "fleet/feed.rs"]
--- a/tests/fleet/site.rs
+++ b/tests/fleet/site.rs
@@ -157,6 +157,7 @@
         expect,
         value: Some(text),
         lease: None,
+        unless: None,
     };
     let answer = driver.store.on(now, &swap);
     assert!(matches!(answer, Some(Answer::Swapped(_))), "{answer:?}");
--- a/tests/keyvalue.rs
+++ b/tests/keyvalue.rs
@@ -22,6 +22,7 @@
         expect: Revision(expect),
         value: Some(value.into()),
         lease,
+        unless: None,
     }
 }
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -8,6 +8,8 @@
 mod closing;
 #[path = "platform/config.rs"]
 mod config;
+#[path = "platform/departure.rs"]
+mod departure;
 #[path = "platform/drain.rs"]
 mod drain;
 #[path = "platform/endless.rs"]
--- a/tests/platform/heartbeat.rs
+++ b/tests/platform/heartbeat.rs
@@ -2,10 +2,11 @@
 
 use bluebellswitch::{
     announce::{
-        Announcement, //
+        Announcement,
+        Departure,
         State,
         UpstreamTracker,
-        Verdict,
+        Verdict, //
     },
     clock::{
         Span,
@@ -273,3 +274,91 @@
     assert_eq!(upstream_tracker.handle(now, &anew), Verdict::Changed);
     assert!(upstream_tracker.is_ready());
 }
+
+/// What happens to a tracker whose process has just started.
+enum Step {
+    /// An announcement of a life, with a sequence number, at a time in milliseconds.
+    Heard(u64, u64, State, u64),
+    /// A departure that an earlier process acknowledged: its life and sequence number.
+    Restored(u64, u64, State),
+    /// All departures are known.
+    Trusted,
+}
+
+/// Guards against a delayed heartbeat that makes an upstream ready whose departure an
+/// earlier process acknowledged, and against an upstream that stays unknown.
+fn restart(steps: &[Step], ready: bool) {
+    let pool = "mill".parse().expect("a name");
+    let address = ADDRESS.parse().expect("an address");
+    let mut upstream_tracker = UpstreamTracker::new(pool, address, Span::from_ms(1500));
+    upstream_tracker.distrust_delayed(Time::from_ms(1000));
+    for step in steps {
+        match step {
+            Step::Heard(life, sequence, state, ms) => {
+                let word = Announcement {
+                    upstream: "i-7f".to_owned(),
+                    life: Some(*life),
+                    sequence: Some(*sequence),
+                    state: *state,
+                    pool: None,
+                    address: None,
+                    slots: Some(5),
+                    warmup: Span::ZERO,
+                };
+                upstream_tracker.handle(Time::from_ms(*ms), &word);
+            }
+            Step::Restored(life, sequence, state) => upstream_tracker.restore(Departure {
+                upstream: "i-7f".to_owned(),
+                life: Some(*life),
+                sequence: Some(*sequence),
+                state: *state,
+            }),
+            Step::Trusted => upstream_tracker.trust_delayed(),
+        }
+    }
+    assert_eq!(upstream_tracker.is_ready(), ready);
+}
+
+cases! { restart:
+    nothing_is_known_yet => (&[Step::Heard(7, 4, State::Ready, 2000)], false),
+    no_departure => (&[Step::Heard(7, 4, State::Ready, 2000), Step::Trusted], true),
+    unknown_and_too_late_to_be_delayed => (
+        &[Step::Heard(7, 4, State::Ready, 2000), Step::Heard(7, 5, State::Ready, 5000)],
+        true
+    ),
+    delayed_before_the_departure_is_known => (
+        &[Step::Heard(7, 4, State::Ready, 2000), Step::Restored(7, 5, State::Draining),
+          Step::Trusted],
+        false
+    ),
+    delayed_after_the_departure_is_known => (
+        &[Step::Restored(7, 5, State::Draining), Step::Trusted,
+          Step::Heard(7, 3, State::Ready, 2000), Step::Heard(7, 4, State::Ready, 2500)],
+        false
+    ),
+    delayed_after_a_deregistration => (
+        &[Step::Restored(7, 0, State::Gone), Step::Trusted,
+          Step::Heard(7, 4, State::Ready, 2000)],
+        false
+    ),
+    delayed_from_an_earlier_life => (
+        &[Step::Heard(6, 9, State::Ready, 2000), Step::Restored(7, 5, State::Draining),
+          Step::Trusted, Step::Heard(6, 10, State::Ready, 2500)],
+        false
+    ),
+    returned_after_the_departure => (
+        &[Step::Restored(7, 5, State::Draining), Step::Trusted,
+          Step::Heard(7, 6, State::Ready, 2000)],
+        true
+    ),
+    later_life => (
+        &[Step::Restored(7, 5, State::Gone), Step::Trusted,
+          Step::Heard(8, 1, State::Ready, 2000)],
+        true
+    ),
+    later_life_heard_first => (
+        &[Step::Heard(8, 1, State::Ready, 2000), Step::Restored(7, 5, State::Gone),
+          Step::Trusted],
+        true
+    ),
+}
--- a/tests/platform/odd_rows.rs
+++ b/tests/platform/odd_rows.rs
@@ -220,6 +220,7 @@
             expect,
             value: Some("x".to_owned()),
             lease: None,
+            unless: None,
         };
         let conflict = client.call(swap(Revision(0))).await;
         assert_eq!(conflict, Answer::Conflict(Some(present)));
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -67,6 +67,7 @@
     pub node: Server,
     pub server: Upstream,
     pub id: String,
+    zone: String,
     pool: String,
 }
 
@@ -170,12 +171,42 @@
             node,
             server,
             id: format!("i-{name}"),
+            zone: zone.to_owned(),
             pool: pool.to_owned(),
         };
         machine.say("ready", 1).await;
         self.machines.push(machine);
     }
 
+    /// Stops the node of a machine, at once or in order, and starts another one beside the
+    /// same server after a time.
+    pub async fn restart(&mut self, machine: usize, in_order: bool, down: Span) {
+        let Machine {
+            node,
+            server,
+            id,
+            zone,
+            pool,
+        } = self.machines.remove(machine);
+        if in_order {
+            node.drain();
+            node.wait().await;
+        } else {
+            drop(node);
+        }
+        pause(down.as_ms()).await;
+        let name = id.trim_start_matches("i-");
+        let node = self.node(name, &zone, &pool, server.address()).await;
+        let restarted = Machine {
+            node,
+            server,
+            id,
+            zone,
+            pool,
+        };
+        self.machines.insert(machine, restarted);
+    }
+
     async fn node(&self, name: &str, zone: &str, pool: &str, upstream: SocketAddr) -> Server {
         let store = self.store.address();
         let settings = settings(name, zone, pool, upstream, store, &self.limits);
@@ -243,6 +274,12 @@
         self.post("Deregister", "").await
     }
 
+    /// Deregisters with all that a server says of itself.
+    pub async fn leave_born(&self, sequence: u64, born: u64) -> u16 {
+        let body = json!({ "sequence": sequence, "born": born });
+        self.post("Deregister", &body.to_string()).await
+    }
+
     async fn post(&self, call: &str, body: &str) -> u16 {
         let address = self.node.addresses().announcements.expect("a listener");
         let target = format!("/api/Instances.{call}/{}", self.id);
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -39,6 +39,7 @@
         expect: Revision(expect),
         value: value.map(str::to_owned),
         lease: None,
+        unless: None,
     }
 }
 
--- a/tests/tables/platform.rs
+++ b/tests/tables/platform.rs
@@ -47,6 +47,7 @@
         expect,
         value: value.map(str::to_owned),
         lease,
+        unless: None,
     }
 }
 
