Don't take a reset for the end of an answer without a length

What callers saw: a server answered a long upload with a 200 without a length, sent a part of its body and reset the connection while the upload was being written. Clients got that part as a whole answer.

Cause: the system reports a reset once. The writer of the upload met it and only stopped writing; the reader then found an end of file after the head, which counts as the orderly close that ends such an answer.

An answer that ends with its connection is now accepted only if sending its request had not failed by the time its head was read. After that nothing is written, so that the reader meets the reset itself.

--- a/src/connection/upstream.rs
+++ b/src/connection/upstream.rs
@@ -5,7 +5,10 @@
 //! does not read a response until the request body has been sent. A truncated
 //! response must never be passed on as a shorter successful one, so this module
 //! drives the codec itself and treats a body as complete only when the codec
-//! reports its end, or at an orderly close where the pool allows that framing.
+//! reports its end, or at an orderly close where the pool allows that framing. A close is
+//! orderly only if nothing of the exchange has failed before: the system reports the reset
+//! of a connection once, to the writer or to the reader, and the other one then finds an
+//! end of file.
 
 mod idle;
 
@@ -291,7 +294,7 @@
         let is_bodiless = matches!(size, BodySize::None | BodySize::Sized(0));
         let sending = (!is_bodiless).then(|| self.memory.open(Owner::Callers));
         let (mut reader, mut writer) = connection.stream.split();
-        let (response, sent) = {
+        let (response, sending_end) = {
             let write = pin!(write(&mut writer, request, size, &body, sending.as_ref()));
             let matches = |head: &ResponseHead| self.matches(head, &identity, is_first);
             let read = pin!(self.read_response(&method, &mut reader, &mut input, matches));
@@ -307,7 +310,8 @@
             return Err(End::Cut);
         }
         let framed = is_framed(&answer, &head.method);
-        if !framed && !self.allow_close_delimited {
+        let allows_close = self.allow_close_delimited && sending_end != Sending::Failed;
+        if !framed && !allows_close {
             return Err(End::Cut);
         }
         let empty = framed && !announces_body(&answer, &head.method);
@@ -317,6 +321,7 @@
         }
         // A second response to `HEAD` looks as if it had a body, so that what follows it
         // could not be found.
+        let sent = sending_end == Sending::Complete;
         let reuse = sent && framed && codec.keep_alive() && !is_after_stray && method != "HEAD";
         let idle_timeout = keep_alive_timeout(answer.headers())
             .map_or(self.idle_timeout, |timeout| timeout.min(self.idle_timeout));
@@ -581,28 +586,36 @@
     matches!(method, "POST" | "PUT" | "PATCH")
 }
 
+/// How far a request was sent when the head of its response arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Sending {
+    /// The connection failed.
+    Failed,
+    /// The rest of the request is not sent any more.
+    Unfinished,
+    Complete,
+}
+
 /// Waits for the response head while the request body is still being sent.
-/// Also returns whether the request was sent completely.
 async fn receive_while_sending<W, R>(
     mut write: std::pin::Pin<&mut W>,
     mut read: std::pin::Pin<&mut R>,
-) -> Result<(Response, bool), End>
+) -> Result<(Response, Sending), End>
 where
     W: Future<Output = Result<(), WriteError>>,
     R: Future<Output = Result<Response, Cut>>,
 {
-    let mut writing = true;
-    let mut sent = false;
+    let mut sending = Sending::Unfinished;
     loop {
         tokio::select! {
             biased;
-            result = &mut write, if writing => match result {
-                Ok(()) => (writing, sent) = (false, true),
+            result = &mut write, if sending == Sending::Unfinished => match result {
+                Ok(()) => sending = Sending::Complete,
                 Err(WriteError::Body) => return Err(End::Cut),
                 // The upstream may have responded before it stopped reading.
-                Err(WriteError::Stream) => writing = false,
+                Err(WriteError::Stream) => sending = Sending::Failed,
             },
-            response = &mut read => return Ok((response.map_err(|_| End::Cut)?, sent)),
+            response = &mut read => return Ok((response.map_err(|_| End::Cut)?, sending)),
         }
     }
 }
--- a/src/standin/upstream.rs
+++ b/src/standin/upstream.rs
@@ -41,7 +41,10 @@
     Encoder, //
 };
 
-use crate::error::Result;
+use crate::{
+    clock::Span,
+    error::Result, //
+};
 
 /// A request as the upstream saw it.
 #[derive(Clone, Debug)]
@@ -96,6 +99,11 @@
     Ahead(Box<Act>),
     /// Answers at once without reading the body.
     Early(u16),
+    /// Writes exactly these bytes before it reads the body, and then nothing more.
+    HalfClose(Bytes),
+    /// Writes exactly these bytes before it reads the body, and closes the connection this
+    /// much later: by a reset, as there is input that was not read.
+    Abandon(Bytes, Span),
     /// Closes the connection, by a reset if so.
     Close(bool),
     /// Never answers, nor reads on.
@@ -285,6 +293,22 @@
                 perform(&mut stream, &mut codec, &mut output, answer, state).await;
                 return;
             }
+            Act::HalfClose(bytes) => {
+                remember(state, seen);
+                let _ = stream.write_all(&bytes).await;
+                let _ = stream.shutdown().await;
+                let _ = body(&mut stream, &mut codec, &mut input).await;
+                return;
+            }
+            Act::Abandon(bytes, delay) => {
+                remember(state, seen);
+                let _ = stream.write_all(&bytes).await;
+                // Even a timer without a delay lets the node read the answer first.
+                if delay > Span::ZERO {
+                    tokio::time::sleep(delay.to_std()).await;
+                }
+                return;
+            }
             Act::Before(bytes, _) if !seen.is_bodiless() => {
                 let _ = stream.write_all(&bytes).await;
             }
@@ -459,7 +483,13 @@
             }
             false
         }
-        Act::Before(..) | Act::Hold(..) | Act::Early(_) | Act::Work(_) | Act::Ahead(_) => false,
+        Act::Before(..)
+        | Act::Hold(..)
+        | Act::Early(_)
+        | Act::HalfClose(_)
+        | Act::Abandon(..)
+        | Act::Work(_)
+        | Act::Ahead(_) => false,
     }
 }
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -4,6 +4,8 @@
 #[macro_use]
 mod support;
 
+#[path = "platform/abandoned.rs"]
+mod abandoned;
 #[path = "platform/closing.rs"]
 mod closing;
 #[path = "platform/config.rs"]
