Refuse heads of answers that are not HTTP

What callers saw: answers with status 600 or 999 were passed on, and so were heads with a blank before a colon, a length beside chunks, chunks in version 1.0, a length in an informational answer, an empty line first, or a bare LF.

Cause: the codec accepts more than HTTP/1.1 allows, and other readers find another body in such heads. A server that sends them is in trouble, and what it says can't be relied on.

Each head is now validated line by line before it is decoded.

--- a/src/connection/upstream.rs
+++ b/src/connection/upstream.rs
@@ -10,6 +10,7 @@
 //! of a connection once, to the writer or to the reader, and the other one then finds an
 //! end of file.
 
+mod head;
 mod idle;
 
 use std::{
@@ -51,10 +52,13 @@
     Encoder, //
 };
 
-use self::idle::{
-    Connection,
-    Identity, //
-    IdleConnections,
+use self::{
+    head::Scanner,
+    idle::{
+        Connection,
+        Identity,
+        IdleConnections, //
+    },
 };
 use super::{
     body::{
@@ -705,16 +709,19 @@
     reader: &mut tokio::net::tcp::ReadHalf<'_>,
     input: &mut Input,
 ) -> Result<ResponseHead, Cut> {
-    let mut informational = 0;
-    while informational <= MAX_INFORMATIONAL_RESPONSES {
-        let head = codec.decode(&mut input.bytes).map_err(|_| Cut)?;
-        match head {
-            Some(head) if head.status.as_u16() == 101 => return Err(Cut),
-            Some(head) if head.status.is_informational() => informational += 1,
-            Some(head) => return Ok(head),
-            None => {
-                read_required(reader, input).await?;
-            }
+    for _ in 0..=MAX_INFORMATIONAL_RESPONSES {
+        let mut scanner = Scanner::default();
+        while !scanner.scan(&input.bytes)? {
+            read_required(reader, input).await?;
+        }
+        let head = codec
+            .decode(&mut input.bytes)
+            .map_err(|_| Cut)?
+            .ok_or(Cut)?;
+        match head.status {
+            StatusCode::SWITCHING_PROTOCOLS => return Err(Cut),
+            status if status.is_informational() => {}
+            _ => return Ok(head),
         }
     }
     Err(Cut)
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -26,6 +26,8 @@
 mod late_copy;
 #[path = "platform/names.rs"]
 mod names;
+#[path = "platform/odd_head.rs"]
+mod odd_head;
 #[path = "platform/odd_rows.rs"]
 mod odd_rows;
 #[path = "platform/pages.rs"]
