Don't take a body that breaks off for a whole one

What callers saw: a deregistration whose body broke off was read as one with an empty body. Its node acknowledged nothing and took the server out, so that callers got 503 from a service with one server. A response of the store that broke off counted if the part was valid JSON, and an operator's command printed a part of a page.

Cause: the reader of announcements stopped at an error as at the end of the body, and the client of awc takes a body for complete when the connection closes before its end.

--- a/src/command/operator.rs
+++ b/src/command/operator.rs
@@ -26,6 +26,7 @@
         Error,
         Result, //
     },
+    header::is_whole, //
 };
 
 /// How long a node may take to answer.
@@ -136,7 +137,11 @@
             _ => {}
         }
         let body = answer.body().limit(ANSWER_LIMIT).await;
-        body.map(Some).map_err(|error| unreachable(node, &error))
+        let body = body.map_err(|error| unreachable(node, &error))?;
+        match is_whole(answer.headers(), body.len()) {
+            true => Ok(Some(body)),
+            false => Err(unreachable(node, &"its answer breaks off")),
+        }
     }
 }
 
--- a/src/connection/header.rs
+++ b/src/connection/header.rs
@@ -252,3 +252,13 @@
     let len = |(name, value): (&HeaderName, &HeaderValue)| name.as_str().len() + value.len() + 4;
     headers.iter().map(len).sum::<usize>() as u64
 }
+
+/// Whether a body is as long as the head announces. The client of awc takes a body for
+/// complete when the connection closes before its end.
+pub(crate) fn is_whole(headers: &HeaderMap, length: usize) -> bool {
+    let Some(announced) = headers.get("content-length") else {
+        return true;
+    };
+    let announced = announced.to_str().ok().and_then(|text| text.parse().ok());
+    announced == Some(length)
+}
--- a/src/process/beside.rs
+++ b/src/process/beside.rs
@@ -47,7 +47,9 @@
     let mut payload = request.take_payload();
     let mut body = BytesMut::new();
     let read_body = async {
-        while let Some(Ok(chunk)) = payload.next().await {
+        while let Some(chunk) = payload.next().await {
+            // A part of a body may be a valid announcement.
+            let Ok(chunk) = chunk else { return false };
             body.extend_from_slice(&chunk);
             if body.len() > MAX_ANNOUNCEMENT_BYTES {
                 return false;
--- a/src/process/client.rs
+++ b/src/process/client.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     clock::Span,
+    header::is_whole,
     store::{
         Answer,
         Call,
@@ -66,6 +67,10 @@
             return None;
         }
         let body = response.body().limit(MAX_ANSWER_BYTES).await.ok()?;
+        if !is_whole(response.headers(), body.len()) {
+            log::warn!("a response of the key-value service breaks off");
+            return None;
+        }
         serde_json::from_slice(&body).ok()
     }
 }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -10,6 +10,8 @@
 mod closing;
 #[path = "platform/config.rs"]
 mod config;
+#[path = "platform/cut_body.rs"]
+mod cut_body;
 #[path = "platform/departure.rs"]
 mod departure;
 #[path = "platform/drain.rs"]
