Soak: departures beside restarts, abandoned uploads, odd heads

Three faults: a server leaves, each way, while its node restarts, each way, with one to three of its heartbeats up to 7 s late and the store away in a third of the cases; a server answers an upload at its head with a part of an answer without a length and resets the connection; heads that are not HTTP. One upload in twenty is of 1 to 2 MB, as smaller ones fit a socket's buffer.

DRAIN is judged whatever became of the store, as an acknowledgement binds while it is away, and MIXED also by the head of an answer.

--- a/src/soak.rs
+++ b/src/soak.rs
@@ -11,6 +11,7 @@
 
 mod client;
 pub(crate) mod config;
+mod depart;
 mod endless;
 mod judge;
 mod life;
--- a/src/soak/client.rs
+++ b/src/soak/client.rs
@@ -88,6 +88,9 @@
 const UPLOAD_PAUSE_SHARE: f64 = 0.2;
 const LONG_UPLOAD_PAUSE_SHARE: f64 = 0.7;
 const UPLOAD_BYTES: std::ops::Range<u64> = 500..180_000;
+/// The same of the share of uploads that fit no socket's buffer.
+const LARGE_UPLOAD_BYTES: std::ops::Range<u64> = 1_000_000..2_000_000;
+const LARGE_UPLOAD_SHARE: f64 = 0.05;
 
 /// A request that is ready to be sent.
 struct Outgoing {
@@ -107,6 +110,8 @@
     seal: Option<String>,
     retry_after: Option<Span>,
     body: Bytes,
+    /// Whether its head has a field of a spoiled answer.
+    is_odd: bool,
     /// Whether its body is longer than any, and was not read on.
     is_oversized: bool,
     keeps_open: bool,
@@ -233,6 +238,7 @@
     let length = match route.kind {
         Kind::Safe => 0,
         Kind::Unsafe => world.draw(1..400),
+        Kind::Upload if world.chance(LARGE_UPLOAD_SHARE) => world.draw(LARGE_UPLOAD_BYTES),
         Kind::Upload => world.draw(UPLOAD_BYTES),
     };
     let body: Bytes = id
@@ -499,6 +505,10 @@
         seal: names.seal.and_then(text),
         retry_after: wait.map(|seconds| Span::from_ms((seconds * 1000.0) as u64)),
         body: Bytes::new(),
+        is_odd: head
+            .headers()
+            .keys()
+            .any(|name| name.as_str().starts_with("x-odd")),
         is_oversized: false,
         keeps_open: text("connection").is_none_or(|text| !text.eq_ignore_ascii_case("close")),
     };
@@ -538,6 +548,8 @@
     let is_other = answer.id.as_deref().is_some_and(|other| other != id);
     let wrong = match &seal {
         _ if is_other => Some("the answer to another request"),
+        _ if answer.is_odd => Some("a head that is not HTTP"),
+        _ if !(200..600).contains(&answer.status) => Some("a status that is not HTTP"),
         None if is_success => Some("a success without a seal"),
         Some(_) if answer.id.is_none() => Some("a server's answer without its id"),
         Some(seal) if answer.status != seal.status => Some("another status than the server's"),
--- a/src/soak/plan.rs
+++ b/src/soak/plan.rs
@@ -22,6 +22,7 @@
         SERVICES,
         TEAMS, //
     },
+    depart,
     endless::Endless,
     life,
     machine::{
@@ -83,6 +84,11 @@
     Unproven = "unproven";
     /// A server breaks off within the heads of answers.
     HeadCut = "head-cut";
+    /// A server sends heads that are not HTTP.
+    OddHead = "odd-head";
+    /// A server answers uploads at their head with a part of an answer without a length,
+    /// and resets the connection.
+    Abandon = "abandon";
     /// A server answers some requests without end.
     EndlessAnswer = "endless-answer";
     /// A server loses answers.
@@ -97,6 +103,8 @@
     Reuse = "reuse";
     /// A server leaves, and another one takes its place.
     Leave = "leave";
+    /// A server leaves while its node restarts, and some of its heartbeats arrive late.
+    LeaveAndRestart = "leave-and-restart";
     /// A node's process stands still.
     Stop = "stop";
     /// A node's process gets little processor time.
@@ -268,6 +276,8 @@
         | Fault::Garble
         | Fault::Unproven
         | Fault::HeadCut
+        | Fault::OddHead
+        | Fault::Abandon
         | Fault::Lose => {
             spoil(machine, long, |faults| draw_spoil(fault, rng, faults)).await;
         }
@@ -279,6 +289,12 @@
                 machine.server.end_change();
             }
         }
+        Fault::LeaveAndRestart => {
+            if machine.server.begin_change() {
+                report(world, number, depart::play(world, number, rng).await);
+                machine.server.end_change();
+            }
+        }
         Fault::Stop => stand_still(machine, long).await,
         Fault::Starve => starve(machine, long, rng).await,
         Fault::StopAcross => {
@@ -366,6 +382,14 @@
             faults.garble = rng.random_range(0.02..0.3);
             faults.garbles.push(Garble::HeadCut);
         }
+        Fault::OddHead => {
+            faults.garble = rng.random_range(0.02..0.3);
+            faults.garbles.push(Garble::OddHead);
+        }
+        Fault::Abandon => {
+            faults.garble = rng.random_range(0.1..0.9);
+            faults.garbles.push(Garble::Abandoned);
+        }
         _ => {
             faults.lose = rng.random_range(0.02..0.3);
             faults.reset = rng.random();
@@ -486,19 +510,16 @@
 async fn leave(world: &Rc<World>, number: usize, announced: bool) {
     let server = &world.machines[number].server;
     let bounds = world.dialect.bounds();
-    match announced {
-        true => server.leave(State::Draining),
-        false => {
-            server.leave(State::Gone);
-            if server::say(world, number, State::Gone).await {
-                server.drain_acknowledged.set(Some(Clock.now()));
-            }
-        }
-    }
-    let until = Clock.now() + bounds.drain + bounds.drain;
-    while server.drain_acknowledged.get().is_none() && Clock.now() < until {
-        pause(Span::from_ms(20)).await;
-    }
+    server
+        .depart(
+            world,
+            number,
+            match announced {
+                true => State::Draining,
+                false => State::Gone,
+            },
+        )
+        .await;
     let left = bounds.drain + Span::from_secs(1);
     server.ail(left + Span::from_secs(2));
     pause(left).await;
--- a/src/soak/server.rs
+++ b/src/soak/server.rs
@@ -88,6 +88,10 @@
     Unproven,
     /// It breaks off within its head.
     HeadCut,
+    /// Its head is not HTTP.
+    OddHead,
+    /// The part of an answer comes before the body of an upload is read, and a reset after it.
+    Abandoned,
 }
 
 /// How the end of an answer is told.
@@ -101,6 +105,23 @@
 
 const FRAMINGS: [Framing; 3] = [Framing::Length, Framing::Chunked, Framing::Close];
 
+/// Fields that are not HTTP. A client that gets one finds it by its name.
+const ODD_FIELDS: [&str; 7] = [
+    "x-odd : a",
+    "x odd: a",
+    "x-odd\t: a",
+    "x-odd\u{1}: a",
+    "x-odd: a\0",
+    "x-odd: a\r\n b",
+    "x-odd",
+];
+/// Statuses that are not HTTP.
+const ODD_STATUSES: [&str; 6] = ["000", "099", "600", "999", "20", "2000"];
+/// Share of abandoned uploads whose connection is reset with the part of the answer, and how
+/// much later it is reset otherwise, in milliseconds.
+const ABANDON_AT_ONCE_SHARE: f64 = 0.5;
+const ABANDON_MS: std::ops::Range<u64> = 1..60;
+
 /// Those that no answer of a server can mean.
 pub(super) const GARBLES: [Garble; 5] = [
     Garble::Cut,
@@ -265,6 +286,21 @@
         self.state.set(state);
     }
 
+    /// Lets the server announce that it leaves, and returns whether that was acknowledged
+    /// within twice the time that it takes to leave.
+    pub(super) async fn depart(&self, world: &World, number: usize, state: State) -> bool {
+        self.leave(state);
+        if state == State::Gone && say(world, number, state).await {
+            self.drain_acknowledged.set(Some(Clock.now()));
+        }
+        let drain = world.dialect.bounds().drain;
+        let until = Clock.now() + drain + drain;
+        while self.drain_acknowledged.get().is_none() && Clock.now() < until {
+            pause(Span::from_ms(20)).await;
+        }
+        self.drain_acknowledged.get().is_some()
+    }
+
     /// Claims the right to end and start the server. Returns whether no other fault has it.
     pub(super) fn begin_change(&self) -> bool {
         !self.is_changing.replace(true)
@@ -301,6 +337,12 @@
 
 /// Sends one announcement, and returns whether it was acknowledged.
 pub(super) async fn say(world: &World, number: usize, state: State) -> bool {
+    let announcement = prepare(world, number, state);
+    deliver(world, number, &announcement).await
+}
+
+/// Returns the next announcement as it is sent.
+pub(super) fn prepare(world: &World, number: usize, state: State) -> String {
     let machine = &world.machines[number];
     let server = &machine.server;
     server.sequence.set(server.sequence.get() + 1);
@@ -314,15 +356,19 @@
         sequence: server.sequence.get(),
         born: server.born.get(),
     });
-    let request = format!(
+    format!(
         "POST {target} HTTP/1.1\r\nhost: node\r\ncontent-type: application/json\r\n\
          connection: close\r\ncontent-length: {}\r\n\r\n{body}",
         body.len()
-    );
-    let address = machine.addresses.announcements;
+    )
+}
+
+/// Delivers an announcement, and returns whether it was acknowledged.
+pub(super) async fn deliver(world: &World, number: usize, announcement: &str) -> bool {
+    let address = world.machines[number].addresses.announcements;
     let answer = async {
         let mut stream = TcpStream::connect(address).await.ok()?;
-        stream.write_all(request.as_bytes()).await.ok()?;
+        stream.write_all(announcement.as_bytes()).await.ok()?;
         let mut head = [0; 12];
         stream.read_exact(&mut head).await.ok()?;
         Some(head.ends_with(b" 200"))
@@ -408,6 +454,12 @@
         if !seen.is_bodiless() && faults.early && self.world.chance(faults.shed) {
             return Act::Ahead(Box::new(self.reject(seen, &faults)));
         }
+        if !seen.is_bodiless()
+            && faults.garbles.contains(&Garble::Abandoned)
+            && self.world.chance(faults.garble)
+        {
+            return self.abandon(seen);
+        }
         // Ignored: the script is asked again once the body has come.
         Act::Silence
     }
@@ -578,9 +630,39 @@
             }
             Garble::Unproven => answer.act(),
             Garble::HeadCut => self.cut_head(&answer),
+            Garble::OddHead => Act::Raw(self.odden(&answer)),
+            Garble::Abandoned => answer.act(),
         }
     }
 
+    /// Answers an upload with a part of an answer, and closes the connection.
+    fn abandon(&self, seen: &Seen) -> Act {
+        let arrival = self.arrive(seen, true);
+        let bytes = self.seal(seen, arrival, 200).bytes(Framing::Close);
+        let part = bytes.slice(..bytes.len() - 1);
+        let delay = match self.world.chance(ABANDON_AT_ONCE_SHARE) {
+            true => Span::ZERO,
+            false => Span::from_ms(self.world.draw(ABANDON_MS)),
+        };
+        Act::Abandon(part, delay)
+    }
+
+    /// Returns an answer whose head is not HTTP.
+    fn odden(&self, answer: &Answer) -> Bytes {
+        let text = answer.head(Framing::Length);
+        let drawn = self
+            .world
+            .draw(0..(ODD_FIELDS.len() + ODD_STATUSES.len()) as u64) as usize;
+        let head = match ODD_FIELDS.get(drawn) {
+            Some(field) => text.replacen("\r\n", &format!("\r\n{field}\r\n"), 1),
+            None => {
+                let odd = ODD_STATUSES[drawn - ODD_FIELDS.len()];
+                text.replacen(&answer.status.to_string(), odd, 1)
+            }
+        };
+        [head.as_bytes(), &answer.body].concat().into()
+    }
+
     /// Writes a part of an answer's head, then closes or resets the connection.
     fn cut_head(&self, answer: &Answer) -> Act {
         let framing = FRAMINGS[self.world.draw(0..FRAMINGS.len() as u64) as usize];
@@ -632,9 +714,11 @@
             }
         }
         let acknowledged = self.machine().server.drain_acknowledged.get();
+        // What a node has acknowledged binds it also while the store is away.
         let calm = |from| {
             let (from, to) = (from, Clock.now());
-            self.world.machines[request.machine].is_calm(from, to) && !record.is_stalled(from, to)
+            let machine = &self.world.machines[request.machine];
+            machine.is_calm_but_for_store(from, to) && !record.is_stalled(from, to)
         };
         let late = |at| Clock.now().since(at) > self.world.dialect.bounds().drain;
         if acknowledged.is_some_and(|at| late(at) && calm(at)) {
--- a/src/standin/upstream.rs
+++ b/src/standin/upstream.rs
@@ -101,8 +101,8 @@
     Early(u16),
     /// Writes exactly these bytes before it reads the body, and then nothing more.
     HalfClose(Bytes),
-    /// Writes exactly these bytes before it reads the body, and closes the connection this
-    /// much later: by a reset, as there is input that was not read.
+    /// Writes exactly these bytes before it reads the body, and resets the connection this
+    /// much later.
     Abandon(Bytes, Span),
     /// Closes the connection, by a reset if so.
     Close(bool),
@@ -307,6 +307,8 @@
                 if delay > Span::ZERO {
                     tokio::time::sleep(delay.to_std()).await;
                 }
+                // A small body may have been read with the head.
+                let _ = stream.set_zero_linger();
                 return;
             }
             Act::Before(bytes, _) if !seen.is_bodiless() => {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -28,4 +28,10 @@
     planned_stop => (1, Some("planned-stop")),
     // A server's endless answer filled the memory of nodes.
     endless_answer => (1, Some("endless-answer")),
+    // A restarted node took a late heartbeat of a departed server for a present one.
+    leave_and_restart => (1, Some("leave-and-restart")),
+    // A part of an answer without a length passed for the whole after a reset.
+    abandon => (1, Some("abandon")),
+    // Heads that are not HTTP were passed on.
+    odd_head => (1, Some("odd-head")),
 }
