Keep the hint of each upstream of a node

The other nodes had been told, but the new process knew of the first server's departure from the store, and its refusals carried a hint about that one. It replaced the hint about the second server, which was therefore never passed on, and a late heartbeat made that server ready.

Hints are kept by node and upstream. A departure is also passed on with the first refusal of a new incarnation, seconds before its record is seen while the store has just come back.

tests/policy/throttle.rs: the new case fails with one hint a node; the one before it compares lists in place of options.

--- a/src/process/node/listed.rs
+++ b/src/process/node/listed.rs
@@ -641,7 +641,7 @@
                     if let Some(discovery) = &mut self.discovery {
                         discovery.unlisted.forget(&peer.instance);
                     }
-                    self.pass_on_departure(now, &peer, out);
+                    self.pass_on_departures(now, &peer, out);
                     self.members.insert(peer);
                 }
                 Change::Removed(name) if name == self.identity.peer.instance => {}
--- a/src/process/node/listed/departures.rs
+++ b/src/process/node/listed/departures.rs
@@ -21,7 +21,6 @@
         Incarnation,
         Instance, //
     },
-    ingress,
     member::Peer,
     message::Message as NodeMessage, //
 };
@@ -109,14 +108,11 @@
         self.router.record_hint(now, &from, incarnation, hint);
     }
 
-    /// Tells a member of a departure that only its earlier incarnation may know.
-    pub(super) fn pass_on_departure(&self, now: Time, peer: &Peer, out: &mut Vec<Action>) {
-        let hint = self
-            .router
-            .pending_hint(now, &peer.instance, peer.incarnation);
-        if let Some(hint) = hint.filter(|hint| hint.leaving) {
-            let hint = ingress::Action::Hint(peer.instance.clone(), hint);
-            out.push(hint.into());
-        }
+    /// Tells a member of departures that only its earlier incarnations may know.
+    pub(super) fn pass_on_departures(&self, now: Time, peer: &Peer, out: &mut Vec<Action>) {
+        let mut hints = Vec::new();
+        self.router
+            .pass_on_departures(now, &peer.instance, peer.incarnation, &mut hints);
+        out.extend(hints.into_iter().map(Action::from));
     }
 }
--- a/src/request/backpressure.rs
+++ b/src/request/backpressure.rs
@@ -221,13 +221,14 @@
     at: Time,
 }
 
-/// Hints about the upstreams at other nodes, kept by a node that sends requests.
+/// Hints about the upstreams at other nodes, kept by a node that sends requests. Several
+/// upstreams may have run at one node in turn, and the hint of each is about itself alone.
 #[derive(Clone, Debug, Default)]
-pub struct Hints(BTreeMap<Instance, StoredHint>);
+pub struct Hints(BTreeMap<(Instance, Upstream), StoredHint>);
 
 impl Hints {
     /// Records the hint, or its absence, in a report of another node. Its absence
-    /// removes the stored hint only when the report came with an answer: the node
+    /// removes the stored hints only when the report came with an answer: the node
     /// has then observed the upstream's headers itself.
     pub fn record(
         &mut self,
@@ -237,33 +238,47 @@
         hint: Option<Hint>,
         is_answer: bool,
     ) {
-        let is_old = self
-            .0
-            .get(peer)
-            .is_some_and(|stored| stored.incarnation > incarnation);
         match hint {
-            _ if is_old => {}
-            Some(hint) => {
-                self.0
-                    .retain(|_, stored| now.since(stored.at) <= HINT_TIMEOUT);
-                let stored = StoredHint {
-                    hint,
-                    incarnation,
-                    at: now,
-                };
-                self.0.insert(peer.clone(), stored);
-            }
-            None if is_answer => {
-                self.0.remove(peer);
-            }
+            Some(hint) => self.insert(now, peer, incarnation, hint),
+            None if is_answer => self
+                .0
+                .retain(|(name, _), stored| name != peer || stored.incarnation > incarnation),
             None => {}
         }
     }
 
-    /// The hint that a new incarnation of a node must get ahead of an attempt.
-    pub fn pending(&self, now: Time, peer: &Instance, incarnation: Incarnation) -> Option<Hint> {
-        let stored = self.0.get(peer)?;
-        let is_needed = stored.incarnation < incarnation && now.since(stored.at) <= HINT_TIMEOUT;
-        is_needed.then_some(stored.hint)
+    fn insert(&mut self, now: Time, peer: &Instance, incarnation: Incarnation, hint: Hint) {
+        let key = (peer.clone(), hint.upstream);
+        let known = self.0.get(&key);
+        if known.is_some_and(|stored| stored.incarnation > incarnation) {
+            return;
+        }
+        self.0
+            .retain(|_, stored| now.since(stored.at) <= HINT_TIMEOUT);
+        let stored = StoredHint {
+            hint,
+            incarnation,
+            at: now,
+        };
+        self.0.insert(key, stored);
+    }
+
+    /// The hints that a new incarnation of a node must get ahead of an attempt.
+    pub fn pending(
+        &self,
+        now: Time,
+        peer: &Instance,
+        incarnation: Incarnation,
+    ) -> impl Iterator<Item = Hint> {
+        let least = (peer.clone(), Upstream::default());
+        let of_peer = self.0.range(least..).take_while({
+            let peer = peer.clone();
+            move |((name, _), _)| *name == peer
+        });
+        let is_needed = move |stored: &&StoredHint| {
+            stored.incarnation < incarnation && now.since(stored.at) <= HINT_TIMEOUT
+        };
+        let stored = of_peer.map(|(_, stored)| stored).filter(is_needed);
+        stored.map(|stored| stored.hint)
     }
 }
--- a/src/request/ingress.rs
+++ b/src/request/ingress.rs
@@ -355,14 +355,17 @@
         self.hints.record(now, peer, incarnation, Some(hint), false);
     }
 
-    /// Returns the hint that this incarnation of a node must get ahead of an attempt.
-    pub fn pending_hint(
+    /// Tells a node of departures that only its earlier incarnations may know.
+    pub fn pass_on_departures(
         &self,
         now: Time,
         peer: &id::Instance,
         incarnation: id::Incarnation,
-    ) -> Option<Hint> {
-        self.hints.pending(now, peer, incarnation)
+        out: &mut Vec<Action>,
+    ) {
+        let hints = self.hints.pending(now, peer, incarnation);
+        let departures = hints.filter(|hint| hint.leaving);
+        out.extend(departures.map(|hint| Action::Hint(peer.clone(), hint)));
     }
 
     /// Records that the caller was given the head of its response.
@@ -395,6 +398,8 @@
                 self.finished(now, &peer, request, report, env, out);
             }
             Event::Refused(peer, request, code, report) => {
+                // A node that has restarted refuses what is meant for its former life.
+                self.pass_on_departures(now, &peer, report.life, out);
                 self.refused(now, &peer, request, code, report, env, out);
             }
             Event::AttemptUnsent(request) => self.attempt_unsent(now, request, env, out),
--- a/src/request/ingress/attempt.rs
+++ b/src/request/ingress/attempt.rs
@@ -113,9 +113,8 @@
                 .stalls
                 .record_sent(now, &peer, life, request, route);
         }
-        if let Some(hint) = self.hints.pending(now, &peer, life) {
-            out.push(Action::Hint(peer.clone(), hint));
-        }
+        let hints = self.hints.pending(now, &peer, life);
+        out.extend(hints.map(|hint| Action::Hint(peer.clone(), hint)));
         out.push(Action::Send {
             call: call_id,
             request,
--- a/tests/policy/throttle.rs
+++ b/tests/policy/throttle.rs
@@ -129,7 +129,7 @@
     }
 
     fn attempt(&mut self) -> bool {
-        if let Some(hint) = self.hints.pending(self.now, &Self::peer(), self.life) {
+        for hint in self.hints.pending(self.now, &Self::peer(), self.life) {
             self.throttle.apply_hint(self.now, hint.limit);
         }
         if !self.throttle.allows(self.now) {
@@ -294,17 +294,39 @@
     };
     let life = id::Incarnation;
     let mut hints = Hints::default();
+    let pending = |hints: &Hints, number| -> Vec<_> {
+        let pending = hints.pending(now, &peer, life(number));
+        pending.collect()
+    };
     hints.record(now, &peer, life(2), Some(hint), true);
-    assert_eq!(hints.pending(now, &peer, life(2)), None);
-    assert_eq!(hints.pending(now, &peer, life(3)), Some(hint));
+    assert_eq!(pending(&hints, 2), []);
+    assert_eq!(pending(&hints, 3), [hint]);
     hints.record(now, &peer, life(1), None, true);
-    assert_eq!(
-        hints.pending(now, &peer, life(3)),
-        Some(hint),
-        "an old report"
-    );
+    assert_eq!(pending(&hints, 3), [hint], "an old report");
     hints.record(now, &peer, life(3), None, false);
-    assert_eq!(hints.pending(now, &peer, life(4)), Some(hint), "a refusal");
+    assert_eq!(pending(&hints, 4), [hint], "a refusal");
     hints.record(now, &peer, life(3), None, true);
-    assert_eq!(hints.pending(now, &peer, life(4)), None, "an answer");
+    assert_eq!(pending(&hints, 4), [], "an answer");
+}
+
+/// Guards against a departure that is forgotten since the next life of the node, which does
+/// not know of it, reports an earlier one.
+#[test]
+fn hints_about_an_earlier_upstream_replace_no_other() {
+    let (now, peer) = (Time::from_ms(10_000), Story::peer());
+    let hint = |upstream| Hint {
+        upstream: id::Upstream(upstream),
+        limit: None,
+        leaving: true,
+    };
+    let life = id::Incarnation;
+    let mut hints = Hints::default();
+    hints.record(now, &peer, life(2), Some(hint(8)), false);
+    hints.record(now, &peer, life(3), Some(hint(7)), false);
+    let pending: Vec<_> = hints.pending(now, &peer, life(3)).collect();
+    assert_eq!(pending, [hint(8)]);
+    let pending: Vec<_> = hints.pending(now, &peer, life(4)).collect();
+    assert_eq!(pending, [hint(7), hint(8)]);
+    let other = "other".parse().expect("a name");
+    assert_eq!(hints.pending(now, &other, life(4)).count(), 0);
 }
