--- a/src/process/server.rs
+++ b/src/process/server.rs
@@ -1,10 +1,15 @@
 //! Runs a node: opens its listeners, starts its tasks and shuts them down.
 
+mod listen;
+
+pub use self::listen::Addresses;
+use self::listen::Listeners;
+pub(crate) use self::listen::Sockets;
+
 use std::{
     cell::Cell,
     convert::Infallible,
     future::Future,
-    io,
     net::SocketAddr,
     rc::Rc, //
 };
@@ -23,13 +28,7 @@
     ServiceFactory,
     fn_service, //
 };
-use tokio::{
-    net::{
-        TcpListener,
-        UdpSocket, //
-    },
-    sync::Notify,
-};
+use tokio::{net::TcpListener, sync::Notify};
 
 use crate::{
     beside,
@@ -55,11 +54,7 @@
         door,
     },
     directory, document,
-    error::{
-        Code,
-        Error,
-        Result, //
-    },
+    error::Result,
     export, id,
     interface::Interface,
     links::Links,
@@ -81,10 +76,7 @@
     },
     policy::Policy,
     probe,
-    settings::{
-        Listen,
-        Settings, //
-    },
+    settings::Settings,
     store::Store,
     task::{
         Essential,
@@ -135,26 +127,6 @@
 /// its rate should be refused while its callers still have time to retry.
 const MAX_TOKEN_WAIT: Span = Span::from_ms(150);
 
-/// Maximum number of attempts to bind TCP and UDP to the same free port.
-const MAX_BIND_ATTEMPTS: usize = 16;
-
-/// Addresses that a node listens on, with the ports assigned by the system.
-#[derive(Clone, Copy, Debug)]
-pub struct Addresses {
-    /// For callers.
-    pub callers: SocketAddr,
-    /// For the local service that runs next to the node.
-    pub service: SocketAddr,
-    /// For links and datagrams.
-    pub links: SocketAddr,
-    /// For operators.
-    pub operators: SocketAddr,
-    /// For announcements of the service, if they have a listener of their own.
-    pub announcements: Option<SocketAddr>,
-    /// For readiness checks, which tell whether callers may be sent to this node.
-    pub ready: Option<SocketAddr>,
-}
-
 /// How a node stopped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stop {
@@ -542,93 +514,6 @@
     }
 }
 
-/// The listeners of a node, except the one for links.
-struct Listeners {
-    callers: TcpListener,
-    service: Option<TcpListener>,
-    operators: TcpListener,
-    announcements: Option<TcpListener>,
-    ready: Option<TcpListener>,
-}
-
-/// Everything that a node listens on, bound but not served yet.
-pub(crate) struct Sockets {
-    listeners: Listeners,
-    links: TcpListener,
-    datagrams: UdpSocket,
-    addresses: Addresses,
-}
-
-impl Sockets {
-    /// Binds every socket, or none.
-    ///
-    /// The listener of callers comes last: while another address is in use, callers
-    /// are refused a connection instead of waiting on one that nobody serves.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error that names the first listener that cannot be bound.
-    pub(crate) async fn bind(listen: &Listen) -> Result<Self> {
-        let (links, datagrams) = bind_pair(listen.links).await?;
-        let listeners = Listeners::bind(listen).await?;
-        let addresses = listeners.addresses(links.local_addr()?)?;
-        Ok(Self {
-            listeners,
-            links,
-            datagrams,
-            addresses,
-        })
-    }
-}
-
-impl Listeners {
-    async fn bind(listen: &Listen) -> Result<Self> {
-        let service = listen.announcements.is_none().then_some(listen.service);
-        Ok(Self {
-            operators: bind_tcp("operators", listen.operators).await?,
-            announcements: bind_optional("announcements", listen.announcements).await?,
-            ready: bind_optional("ready", listen.ready).await?,
-            service: bind_optional("service", service).await?,
-            callers: bind_tcp("callers", listen.callers).await?,
-        })
-    }
-
-    fn addresses(&self, links: SocketAddr) -> Result<Addresses> {
-        let callers = self.callers.local_addr()?;
-        let service = self.service.as_ref().map(TcpListener::local_addr);
-        Ok(Addresses {
-            callers,
-            service: service.transpose()?.unwrap_or(callers),
-            links,
-            operators: self.operators.local_addr()?,
-            announcements: local_addr(self.announcements.as_ref())?,
-            ready: local_addr(self.ready.as_ref())?,
-        })
-    }
-}
-
-fn local_addr(listener: Option<&TcpListener>) -> Result<Option<SocketAddr>> {
-    Ok(listener.map(TcpListener::local_addr).transpose()?)
-}
-
-async fn bind_tcp(name: &str, address: SocketAddr) -> Result<TcpListener> {
-    let bound = TcpListener::bind(address).await;
-    bound.map_err(|error| bind_error(name, "TCP", address, &error))
-}
-
-async fn bind_optional(name: &str, address: Option<SocketAddr>) -> Result<Option<TcpListener>> {
-    Ok(match address {
-        Some(address) => Some(bind_tcp(name, address).await?),
-        None => None,
-    })
-}
-
-/// Names the listener by its field in the settings.
-fn bind_error(name: &str, protocol: &str, address: SocketAddr, error: &io::Error) -> Error {
-    let reason = format!("cannot bind `{name}` to {protocol} address {address}: {error}");
-    Error::new(Code::Bind, reason)
-}
-
 /// Answers a readiness check.
 async fn readiness(carrier: Rc<Carrier>, request: Request) -> Response<BoxBody> {
     if request.path() != carrier.interface.ready_path {
@@ -698,24 +583,6 @@
     id::Incarnation(Clock.wall() << id::INCARNATION_RANDOM_BITS | random)
 }
 
-/// Binds TCP for links and UDP for datagrams to the same port. A port that the
-/// system picks for TCP may be in use for UDP, so several are tried.
-async fn bind_pair(address: SocketAddr) -> Result<(TcpListener, UdpSocket)> {
-    let mut tries = 0;
-    loop {
-        tries += 1;
-        let links = bind_tcp("links", address).await?;
-        let bound = links.local_addr()?;
-        match UdpSocket::bind(bound).await {
-            Ok(socket) => return Ok((links, socket)),
-            Err(error) if address.port() != 0 || tries == MAX_BIND_ATTEMPTS => {
-                return Err(bind_error("links", "UDP", bound, &error));
-            }
-            Err(_) => {}
-        }
-    }
-}
-
 /// What a listener is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Traffic {
