--- a/src/process/node/event.rs
+++ b/src/process/node/event.rs
@@ -219,7 +219,7 @@
     /// The store answered the call with this identifier.
     StoreAnswer(u64, store::Answer),
     /// An operator requested the configuration version of each domain; the
-    /// replies are collected in [`Core::reports`].
+    /// replies are collected in [`super::Core::reports`].
     Survey,
     /// Finish the running requests within this time, and stop.
     Drain(Span),
