Don't acknowledge a departure that this process alone holds

Such a departure is answered 503, so that the server says it again. It gets no requests meanwhile. One that other nodes were told of is acknowledged after 0.6 s as before.

tests/platform/departure.rs has a case for it.

--- a/src/connection/upstream/head.rs
+++ b/src/connection/upstream/head.rs
@@ -79,11 +79,11 @@
         let is_framing = match () {
             () if name.eq_ignore_ascii_case(b"content-length") => {
                 parse_length(value)?;
-                is_first(&mut self.has_length)?;
+                set_once(&mut self.has_length)?;
                 true
             }
             () if name.eq_ignore_ascii_case(b"transfer-encoding") => {
-                is_first(&mut self.has_coding)?;
+                set_once(&mut self.has_coding)?;
                 self.is_chunked = is_chunked(value)?;
                 true
             }
@@ -96,7 +96,7 @@
 }
 
 /// Sets a flag; `None` if it was set before.
-fn is_first(flag: &mut bool) -> Option<()> {
+fn set_once(flag: &mut bool) -> Option<()> {
     (!std::mem::replace(flag, true)).then_some(())
 }
 
--- a/src/process/beside.rs
+++ b/src/process/beside.rs
@@ -34,8 +34,8 @@
 const MAX_ANNOUNCEMENT_BYTES: usize = 64 << 10;
 /// Maximum time for the body of an announcement to arrive.
 const READ_TIMEOUT: Span = Span::from_secs(1);
-/// How long the acknowledgement of a departure waits for the store. An upstream waits for
-/// a second, and whoever is told later is told by this node.
+/// How long the acknowledgement of a departure waits for the store. An upstream gives up an
+/// announcement after a second.
 const STORE_TIMEOUT: Span = Span::from_ms(600);
 /// Number of consecutive refused connections after which an upstream counts as gone
 /// until its next announcement. A single one may be refused because the upstream has
@@ -82,7 +82,8 @@
 }
 
 /// Handles and acknowledges an announcement. That of a departure is acknowledged once the
-/// store holds it, or [`STORE_TIMEOUT`] later.
+/// store holds it, or [`STORE_TIMEOUT`] later if other nodes were told. One that ends with
+/// this process is not acknowledged.
 async fn respond(carrier: &Carrier, announcement: &Announcement) -> Response<BoxBody> {
     match carrier.handle_announcement(announcement) {
         Verdict::Foreign => empty_response(StatusCode::NOT_FOUND),
@@ -90,6 +91,9 @@
             if announcement.state != State::Ready {
                 let stored = carrier.departure_stored();
                 let _ = tokio::time::timeout(STORE_TIMEOUT.to_std(), stored).await;
+                if !carrier.core().holds_departure_elsewhere() {
+                    return empty_response(StatusCode::SERVICE_UNAVAILABLE);
+                }
             }
             let mut response = Response::build(StatusCode::OK);
             response.insert_header(("content-type", "application/json"));
--- a/src/process/directory.rs
+++ b/src/process/directory.rs
@@ -321,6 +321,17 @@
         self.departures.is_stored()
     }
 
+    /// Whether every departure that was recorded outlives this process, as far as it knows:
+    /// in the store, or at nodes that were told.
+    pub fn holds_departure_elsewhere(&self) -> bool {
+        self.departures.is_held()
+    }
+
+    /// Handles a report of a departure that other nodes were sent.
+    pub fn record_departure_report(&mut self) {
+        self.departures.handle_reported();
+    }
+
     /// Returns the departure of which the other nodes are to be told now, because the
     /// store does not hold it yet.
     pub fn take_departure_report(&mut self, now: Time) -> Option<Departure> {
--- a/src/process/directory/departure.rs
+++ b/src/process/directory/departure.rs
@@ -67,6 +67,8 @@
     /// When the other nodes are told of it.
     report_at: Time,
     report_interval: Span,
+    /// Whether there were other nodes to tell.
+    is_reported: bool,
 }
 
 /// The departures of this node's upstream.
@@ -150,6 +152,7 @@
             departure,
             report_at: now + FIRST_REPORT_DELAY,
             report_interval: FIRST_REPORT_DELAY,
+            is_reported: false,
         });
         self.task.next_at = self.task.next_at.min(now);
     }
@@ -165,6 +168,19 @@
         self.pending.is_none()
     }
 
+    /// Whether everything recorded is in the store, or at other nodes.
+    pub(super) fn is_held(&self) -> bool {
+        let pending = self.pending.as_ref();
+        pending.is_none_or(|pending| pending.is_reported)
+    }
+
+    /// Handles a report that other nodes were sent.
+    pub(super) fn handle_reported(&mut self) {
+        if let Some(pending) = &mut self.pending {
+            pending.is_reported = true;
+        }
+    }
+
     /// Returns the departure of which the other nodes are to be told now.
     pub(super) fn take_report(&mut self, now: Time) -> Option<Departure> {
         let pending = self.pending.as_mut()?;
--- a/src/process/node/listed/departures.rs
+++ b/src/process/node/listed/departures.rs
@@ -58,13 +58,19 @@
         }
     }
 
-    /// Returns whether the store holds the last departure that was recorded. It never does
-    /// without discovery through the store, where none is recorded either.
+    /// Returns whether the store holds the last departure that was recorded. Without
+    /// discovery through the store none is recorded.
     pub fn has_stored_departure(&self) -> bool {
         let discovery = self.discovery.as_ref();
         discovery.is_none_or(|discovery| discovery.directory.has_stored_departure())
     }
 
+    /// Returns whether the last departure that was recorded outlives this process.
+    pub fn holds_departure_elsewhere(&self) -> bool {
+        let discovery = self.discovery.as_ref();
+        discovery.is_none_or(|discovery| discovery.directory.holds_departure_elsewhere())
+    }
+
     /// Passes on what the store says of earlier departures, and tells the other nodes of
     /// one that the store does not hold yet.
     pub(super) fn tick_departures(
@@ -93,6 +99,7 @@
         };
         let is_other = |peer: &&Peer| peer.instance != own.instance;
         for peer in self.members.iter().filter(is_other) {
+            discovery.directory.record_departure_report();
             let message = NodeMessage::Departure(message.clone());
             out.push(Action::Datagram(peer.datagram, message));
         }
--- a/tests/platform/departure.rs
+++ b/tests/platform/departure.rs
@@ -157,3 +157,26 @@
     store_away_before_an_upgrade => (Leave::Draining, Restart::Drained, Store::AwayBefore),
     store_away_before_a_kill => (Leave::Draining, Restart::Killed, Store::AwayBefore),
 }
+
+/// Guards against an acknowledgement that no other process knows of: after a kill it would
+/// be forgotten.
+#[test]
+fn a_departure_that_nobody_else_holds_is_not_acknowledged() {
+    run(async {
+        let mut site = Site::start(|seen| whole(seen, "whole")).await;
+        site.store.set(Mood::Refuses(503));
+        // Without the store the nodes don't find each other.
+        site.restart(SENDING, false, Span::ZERO).await;
+        site.restart(LEAVING, false, Span::ZERO).await;
+        let machine = &site.machines[LEAVING];
+        assert_eq!(machine.say("ready", 2).await, 200);
+        assert_eq!(machine.say("draining", 3).await, 503);
+        site.store.set(Mood::Well);
+        let sequence = Cell::new(3);
+        until("the departure is acknowledged", || async {
+            sequence.set(sequence.get() + 1);
+            machine.say("draining", sequence.get()).await == 200
+        })
+        .await;
+    });
+}
