Keep addresses of start tests in use from the choice of the port on

Cause: the test chose a free port, closed the listener and bound the address again. A process that another test of the same program starts has a copy of every socket from its fork until its program runs, so for that time the closed listener still listens. Ruled out: a second user of 127.63.4.1 (only this test has it), a port drawn twice (all listeners of a site are open while their ports are drawn), connections (their source is 127.0.0.1).

The test itself was not seen failing on this machine.

Now Site::hold keeps the listener that chose the port, in the nine cases that did the same, and the stand-in of the store in the successor test chooses its own port. What the tests ask of the node is unchanged: the same addresses are in use, and the same lines, codes and exits are asserted.

--- a/tests/start/process.rs
+++ b/tests/start/process.rs
@@ -70,6 +70,17 @@
         Self { path, settings }
     }
 
+    /// Moves `field` to a free address and keeps it in use. The listener stays open from
+    /// the choice of the port on: a process that another test is about to start has a
+    /// copy of each socket until its program runs, so an address is not free again as
+    /// soon as its listener is dropped.
+    pub fn hold(&mut self, field: &str) -> TcpListener {
+        let listener = free(&self.address("callers").ip().to_string());
+        let address = listener.local_addr().expect("an address").to_string();
+        self.settings["listen"][field] = address.into();
+        listener
+    }
+
     pub fn text(&self) -> String {
         self.settings.to_string()
     }
--- a/tests/start/signal.rs
+++ b/tests/start/signal.rs
@@ -65,8 +65,8 @@
 /// Guards against a process that does not stop while it waits for an address.
 #[test]
 fn sigterm_stops_a_node_without_its_address() {
-    let site = Site::new("stop-address", "127.63.0.4");
-    let _held = std::net::TcpListener::bind(site.address("operators")).expect("free");
+    let mut site = Site::new("stop-address", "127.63.0.4");
+    let _held = site.hold("operators");
     let mut node = Node::start(&site.write().path);
     node.logs("the node cannot start yet");
     node.signal(Signal::TERM);
--- a/tests/start/socket.rs
+++ b/tests/start/socket.rs
@@ -52,11 +52,10 @@
 }
 
 impl Holder {
-    /// Takes the address of a listener in the settings. That of a connection is
-    /// assigned by the system, and the settings follow.
+    /// Takes an address, which becomes that of a listener in the settings.
     fn hold(self, site: &mut Site, field: &str) -> Held {
         match self {
-            Self::Listener => Held::Listener(TcpListener::bind(site.address(field)).expect("free")),
+            Self::Listener => Held::Listener(site.hold(field)),
             Self::Datagrams => Held::Datagrams(UdpSocket::bind(site.address(field)).expect("free")),
             Self::Connection => {
                 let listener = free(&site.address(field).ip().to_string());
@@ -85,20 +84,10 @@
     stream
 }
 
-/// A site that has the listener `field`.
-fn site(name: &str, host: &str, field: &str) -> Site {
-    let mut site = Site::new(name, host);
-    if field == "announcements" {
-        let address = free(host).local_addr().expect("an address").to_string();
-        site.settings["listen"][field] = address.into();
-    }
-    site
-}
-
 /// Guards against a node that exits because an address is still in use, and against
 /// an error that does not name it.
 fn waits(host: &str, field: &str, holder: Holder) {
-    let mut site = site(&format!("address-{host}"), host, field);
+    let mut site = Site::new(&format!("address-{host}"), host);
     let held = holder.hold(&mut site, field);
     let address = site.address(field);
     let mut node = Node::start(&site.write().path);
@@ -142,9 +131,9 @@
 /// Guards against an exit whose error does not name the address.
 #[test]
 fn address_in_use_is_an_error_in_the_end() {
-    let site = Site::new("address-for-good", "127.63.4.1");
+    let mut site = Site::new("address-for-good", "127.63.4.1");
+    let _held = site.hold("operators");
     let address = site.address("operators");
-    let _held = TcpListener::bind(address).expect("free");
     let node = Node::start_with(&site.write().path, &["--start-timeout", "300ms"]);
     let ended = node.ended();
     assert_eq!(ended.status.code(), Some(7), "{}", ended.stderr);
--- a/tests/start/successor.rs
+++ b/tests/start/successor.rs
@@ -217,26 +217,35 @@
 }
 
 /// The platform's stand-in as a process.
-struct Platform(Child);
+struct Platform {
+    child: Child,
+    address: SocketAddr,
+}
 
 impl Platform {
-    fn start(listen: SocketAddr) -> Self {
+    /// Starts on a free port of `host`.
+    fn start(host: &str) -> Self {
         let mut child = Command::new(env!("CARGO_BIN_EXE_bluebellswitch"))
-            .args(["platform", "--listen", &listen.to_string()])
+            .args(["platform", "--listen", &format!("{host}:0")])
             .stdout(Stdio::piped())
             .spawn()
             .expect("started");
         let mut line = String::new();
         let stdout = child.stdout.take().expect("piped");
         BufReader::new(stdout).read_line(&mut line).expect("a line");
-        Self(child)
+        let address = line.trim_end().strip_prefix("listening on ");
+        let address = address.and_then(|text| text.parse().ok());
+        Self {
+            address: address.unwrap_or_else(|| panic!("no address in {line:?}")),
+            child,
+        }
     }
 }
 
 impl Drop for Platform {
     fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
+        let _ = self.child.kill();
+        let _ = self.child.wait();
     }
 }
 
@@ -289,21 +298,20 @@
     let served = seen.clone();
     thread::spawn(move || upstream(listener, served));
 
-    let platform_address = free(host).local_addr().expect("an address");
-    let _platform = Platform::start(platform_address);
-    let key = configure(platform_address);
+    let platform = Platform::start(host);
+    let key = configure(platform.address);
 
     // The rates of a fleet stay countable as long as one of its nodes runs.
     let mut edge = Site::new("successor-edge", host);
     edge.settings["instance"] = "edge".into();
     edge.settings["pool"] = "edges".into();
-    edge.settings["platform"] = platform_address.to_string().into();
+    edge.settings["platform"] = platform.address.to_string().into();
     let mut other = Node::start(&edge.write().path);
     other.logs("the node listens");
 
     let mut site = Site::new("successor", host);
     site.settings["upstream"] = upstream_address.to_string().into();
-    site.settings["platform"] = platform_address.to_string().into();
+    site.settings["platform"] = platform.address.to_string().into();
     let callers = site.address("callers");
     let mut predecessor = Node::start(&site.write().path);
     predecessor.logs("the node listens");
