Say in the log how many nodes were told of a departure

"the store does not hold a departure yet; the nodes are told" was also written where no other node was known, so nobody was told and the departure was answered 503. The line now ends at the first half, and has reported_to, the number of nodes that a report was sent to.

--- a/src/process/carrier/decision.rs
+++ b/src/process/carrier/decision.rs
@@ -58,8 +58,8 @@
             conclusive = inquiry.is_conclusive;
             "the store was asked for an earlier departure of the upstream"
         ),
-        LogEvent::DepartureUnstored(upstream) => log::warn!(
-            upstream:% = upstream; "the store does not hold a departure yet; the nodes are told"
+        LogEvent::DepartureUnstored { upstream, nodes } => log::warn!(
+            upstream:% = upstream, reported_to = *nodes; "the store does not hold a departure yet"
         ),
         LogEvent::DrainEnded(open) => log::warn!(
             waiting = open.waiting, sent = open.sent, begun = open.begun, answering = open.answering;
--- a/src/process/node/event.rs
+++ b/src/process/node/event.rs
@@ -86,9 +86,13 @@
     },
     /// What the store says of departures that earlier processes acknowledged.
     DeparturesKnown(Inquiry),
-    /// The store does not hold an acknowledged departure of this upstream yet, so the
-    /// other nodes are told of it.
-    DepartureUnstored(id::Upstream),
+    /// The store does not hold a departure of the local upstream yet.
+    DepartureUnstored {
+        /// The upstream.
+        upstream: id::Upstream,
+        /// How many other nodes were sent a report of it.
+        nodes: usize,
+    },
     /// The local upstream's process ended while it ran these requests.
     UpstreamCrashed(Vec<Work>),
     /// This node told the others of its pool about requests under which upstreams end.
--- a/src/process/node/listed/departures.rs
+++ b/src/process/node/listed/departures.rs
@@ -87,7 +87,6 @@
             return;
         };
         let own = &self.identity.peer;
-        out.push(Action::Log(LogEvent::DepartureUnstored(departure.id())));
         let message = Message {
             from: own.instance.clone(),
             incarnation: own.incarnation,
@@ -98,11 +97,17 @@
             },
         };
         let is_other = |peer: &&Peer| peer.instance != own.instance;
+        let mut nodes = 0;
         for peer in self.members.iter().filter(is_other) {
-            discovery.directory.record_departure_report();
             let message = NodeMessage::Departure(message.clone());
             out.push(Action::Datagram(peer.datagram, message));
+            nodes += 1;
+        }
+        if nodes > 0 {
+            discovery.directory.record_departure_report();
         }
+        let upstream = departure.id();
+        out.push(Action::Log(LogEvent::DepartureUnstored { upstream, nodes }));
     }
 
     /// Handles another node's message about its upstream.
