Don't take a heartbeat without `born` for one of the server's own

The server's `draining`, five seconds later, is acknowledged and ignored; requests reach it for 1.5 s longer than drain_ms, and orders are cut by its exit.

Cause: a heartbeat without `born` counted as one of the known life, so its sequence number, 500, outdated the server's own.

Now an upstream that has named its life names it in each announcement but the last one, also after it has left; another one is answered 404.

The property test left out every heartbeat with another `born` and did not drain the server afterwards; it does both now.

--- a/src/process/announce.rs
+++ b/src/process/announce.rs
@@ -175,7 +175,8 @@
     Same,
     /// It is outdated: it is acknowledged and ignored.
     Old,
-    /// It concerns a service other than the upstream beside this node.
+    /// It concerns a service other than the upstream beside this node, or lacks the life
+    /// that the upstream's own announcements name. It is not acknowledged.
     Foreign,
 }
 
@@ -337,7 +338,7 @@
         let foreign_address = announcement
             .address
             .is_some_and(|address| address != self.address);
-        if foreign_pool || foreign_address {
+        if foreign_pool || foreign_address || self.lacks_life(announcement) {
             return Verdict::Foreign;
         }
         match &self.upstream {
@@ -359,6 +360,19 @@
         }
     }
 
+    /// Reports whether an announcement lacks a life though the upstream names its own. Its
+    /// sequence number would then be compared with those of a life that it is not of. Only
+    /// the last announcement of a life may leave it out.
+    fn lacks_life(&self, announcement: &Announcement) -> bool {
+        let departed = self.last_departure.as_ref();
+        let names_life = self
+            .upstream
+            .as_ref()
+            .map(|upstream| upstream.life > 0)
+            .or_else(|| departed.map(|departure| departure.life.is_some()));
+        announcement.life.is_none() && announcement.state != State::Gone && names_life == Some(true)
+    }
+
     /// Reports whether an announcement belongs to a life that has ended.
     ///
     /// If a node starts just as its upstream leaves, the first announcement that it
--- a/tests/platform/heartbeat.rs
+++ b/tests/platform/heartbeat.rs
@@ -73,6 +73,11 @@
     no_port => (|b| b["address"] = "10.128.0.9:0".into()),
     port_out_of_range => (|b| b["address"] = "10.128.0.9:70000".into()),
     sequence_that_nothing_follows => (|b| b["sequence"] = u64::MAX.into()),
+    no_zone => (|b| b["zone"] = Value::Null),
+    zone_left_out => (|b| drop(b.as_object_mut().expect("an object").remove("zone"))),
+    version_as_a_number => (|b| b["version"] = 1.into()),
+    warmup_left_out => (|b| drop(b.as_object_mut().expect("an object").remove("warmup_left_ms"))),
+    born_as_text => (|b| b["born"] = "1000".into()),
     born_in_the_far_future => (|b| b["born"] = u64::MAX.into()),
     more_slots_than_a_server_has => (|b| b["capacity_slots"] = u32::MAX.into()),
     negative_warmup => (|b| b["warmup_left_ms"] = (-1).into()),
@@ -118,15 +123,30 @@
             ], proptest::option::of((any::<usize>(), any::<u8>()))),
             0..20,
         ),
+        is_known in any::<bool>(),
     ) {
         const FIELDS: [&str; 9] = ["service", "address", "zone", "version", "capacity_slots",
             "state", "warmup_left_ms", "sequence", "born"];
         let pool = "mill".parse().expect("a name");
         let address = ADDRESS.parse().expect("an address");
         let mut upstream_tracker = UpstreamTracker::new(pool, address, Span::from_ms(1500));
+        let hears = |upstream_tracker: &mut UpstreamTracker, sequence: u64, state: &str| {
+            let mut body = body();
+            body["sequence"] = sequence.into();
+            body["state"] = state.into();
+            let word = read(BEAT, body.to_string().as_bytes()).expect("a word");
+            upstream_tracker.handle(Time::from_ms(2), &word);
+            upstream_tracker.is_ready()
+        };
+        if is_known {
+            hears(&mut upstream_tracker, 3, "ready");
+        }
         for (field, value, byte) in odd {
             let mut body = body();
             // A readable number is a word of the server itself, so only the others follow.
+            if FIELDS[field] == "born" {
+                body["sequence"] = 500.into();
+            }
             body[FIELDS[field]] = value;
             let mut text = body.to_string().into_bytes();
             if let Some((at, with)) = byte.filter(|_| field < 4) {
@@ -134,17 +154,15 @@
                 text[at] = with;
             }
             if let Ok(word) = read(BEAT, &text) {
-                prop_assert!(word.sequence <= Some(1 << 53) && word.life < Some(1 << 42));
-                if word.sequence == Some(4) && word.life == Some(1000) {
+                prop_assert!(word.sequence <= Some(1 << 53));
+                prop_assert!(word.life.is_none_or(|life| life < 1 << 42));
+                if word.life.is_none() || word.sequence == Some(4) && word.life == Some(1000) {
                     upstream_tracker.handle(Time::from_ms(1), &word);
                 }
             }
         }
-        let mut body = body();
-        body["sequence"] = 5.into();
-        let word = read(BEAT, body.to_string().as_bytes()).expect("a word");
-        upstream_tracker.handle(Time::from_ms(2), &word);
-        prop_assert!(upstream_tracker.is_ready());
+        prop_assert!(hears(&mut upstream_tracker, 5, "ready"));
+        prop_assert!(!hears(&mut upstream_tracker, 6, "draining"));
     }
 }
 
@@ -207,6 +225,7 @@
 };
 use Verdict::{
     Changed,
+    Foreign,
     Old,
     Same, //
 };
@@ -228,6 +247,47 @@
     gone_before_it_was_known => (&[(1, 1, Gone, Old)], false),
 }
 
+/// Guards against another writer's heartbeat without `born` that makes the server's own
+/// ones outdated, or a server ready that has left.
+fn lives(words: &[(Option<u64>, u64, State, Verdict)], ready: bool) {
+    let pool = "mill".parse().expect("a name");
+    let address = ADDRESS.parse().expect("an address");
+    let mut upstream_tracker = UpstreamTracker::new(pool, address, Span::from_ms(1500));
+    for (number, (life, sequence, state, verdict)) in words.iter().enumerate() {
+        let word = Announcement {
+            upstream: "i-7f".to_owned(),
+            life: *life,
+            sequence: Some(*sequence),
+            state: *state,
+            pool: None,
+            address: None,
+            slots: Some(5),
+            warmup: Span::ZERO,
+        };
+        let found = upstream_tracker.handle(Time::from_ms(1), &word);
+        assert_eq!(found, *verdict, "word {number}");
+    }
+    assert_eq!(upstream_tracker.is_ready(), ready);
+}
+
+cases! { lives:
+    lost_before_a_drain => (
+        &[(Some(7), 1, Ready, Changed), (None, 500, Ready, Foreign),
+          (Some(7), 2, Draining, Changed)],
+        false
+    ),
+    lost_in_a_drain => (
+        &[(Some(7), 1, Draining, Changed), (None, 500, Ready, Foreign)], false),
+    lost_in_another_drain => (
+        &[(Some(7), 1, Ready, Changed), (None, 500, Draining, Foreign)], true),
+    lost_after_an_unknown_life => (&[(Some(7), 1, Gone, Old), (None, 1, Ready, Foreign)], false),
+    lost_before_the_first_word => (
+        &[(None, 500, Ready, Changed), (Some(7), 1, Draining, Changed)], false),
+    never_named => (&[(None, 1, Ready, Changed), (None, 2, Draining, Changed)], false),
+    left_out_of_the_last_word => (
+        &[(Some(7), 1, Ready, Changed), (None, 2, Gone, Changed)], false),
+}
+
 /// A word about a server elsewhere is not acknowledged: it would bind this node
 /// to a server that is not beside it.
 #[test]
