Handle SIGHUP before the runtime starts

Cause: the handler was installed on the runtime, whose start takes some 0.15 ms, longer on a loaded machine.

signal-hook is new; tokio already uses its registry of handlers.

--- a/src/command/node.rs
+++ b/src/command/node.rs
@@ -41,6 +41,7 @@
     },
     settings::Settings,
     start::{
+        EarlyHangup,
         Hangup,
         Prepared,
         Signals,
@@ -75,8 +76,10 @@
 
 impl Runtime {
     fn new() -> Self {
+        // SIGHUP first: only there does the default action differ from what is asked.
+        let early = EarlyHangup::install();
         let system = System::new();
-        let signals = system.block_on(async { Signals::install() });
+        let signals = system.block_on(async { Signals::install(early?) });
         Self { system, signals }
     }
 }
--- a/src/process/start.rs
+++ b/src/process/start.rs
@@ -10,11 +10,26 @@
 //! correction of the file therefore also ends a wait for an address, and no client
 //! waits on a connection to a process that cannot answer.
 
-use std::path::{
-    Path,
-    PathBuf, //
+use std::{
+    path::{
+        Path,
+        PathBuf, //
+    },
+    sync::{
+        Arc,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+    },
 };
 
+use signal_hook::{
+    SigId,
+    consts::SIGHUP,
+    flag,
+    low_level::unregister, //
+};
 use tokio::signal::unix::{
     Signal,
     SignalKind,
@@ -84,13 +99,50 @@
     }
 }
 
+/// SIGHUP before there is a runtime. It would end the process while the runtime starts.
+pub(crate) struct EarlyHangup {
+    handler: SigId,
+    is_received: Arc<AtomicBool>,
+}
+
+impl EarlyHangup {
+    /// Installs the handler.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the operating system refuses a handler.
+    pub(crate) fn install() -> Result<Self> {
+        let is_received = Arc::new(AtomicBool::new(false));
+        let handler = flag::register(SIGHUP, is_received.clone())?;
+        Ok(Self {
+            handler,
+            is_received,
+        })
+    }
+
+    /// Passes on to a handler of the runtime.
+    fn pass_on(self, signal: Signal) -> Hangup {
+        unregister(self.handler);
+        Hangup {
+            signal,
+            is_early: self.is_received.load(Ordering::Relaxed),
+        }
+    }
+}
+
 /// SIGHUP.
-pub(crate) struct Hangup(Signal);
+pub(crate) struct Hangup {
+    signal: Signal,
+    /// Whether one came before the runtime was there, and has not been reported.
+    is_early: bool,
+}
 
 impl Hangup {
     /// Waits until the process is told that its settings file has changed.
     pub(crate) async fn received(&mut self) {
-        self.0.recv().await;
+        if !std::mem::take(&mut self.is_early) {
+            self.signal.recv().await;
+        }
     }
 }
 
@@ -107,9 +159,8 @@
     /// # Errors
     ///
     /// Returns an error if the operating system refuses a handler.
-    pub(crate) fn install() -> Result<Self> {
-        // SIGHUP first: only there does the default action differ from what is asked.
-        let hangup = Hangup(signal(SignalKind::hangup())?);
+    pub(crate) fn install(early: EarlyHangup) -> Result<Self> {
+        let hangup = early.pass_on(signal(SignalKind::hangup())?);
         let terminate = Terminate {
             terminate: signal(SignalKind::terminate())?,
             interrupt: signal(SignalKind::interrupt())?,
