--- a/tests/start/process.rs
+++ b/tests/start/process.rs
@@ -75,10 +75,20 @@
     /// copy of each socket until its program runs, so an address is not free again as
     /// soon as its listener is dropped.
     pub fn hold(&mut self, field: &str) -> TcpListener {
-        let listener = free(&self.address("callers").ip().to_string());
-        let address = listener.local_addr().expect("an address").to_string();
-        self.settings["listen"][field] = address.into();
-        listener
+        let host = self.address("callers").ip().to_string();
+        loop {
+            let listener = free(&host);
+            let address = listener.local_addr().expect("an address").to_string();
+            if !self.uses(&address) {
+                self.settings["listen"][field] = address.into();
+                return listener;
+            }
+        }
+    }
+
+    fn uses(&self, address: &str) -> bool {
+        let listen = self.settings["listen"].as_object().expect("an object");
+        listen.values().any(|used| used == address)
     }
 
     pub fn text(&self) -> String {
